--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+# Every target sets up what it needs; see README.md.
+PYTHON ?= python3
+BIN := .venv/bin
+PACKAGES := savoryyoke savoryyoke-wire savoryyoke-edge savoryyoke-entry \
+	savoryyoke-target savoryyoke-fakes
+SOURCES := packages tests tools
+
+.PHONY: all setup demo test lint format clean
+
+all: lint test
+
+setup: .venv/ready
+
+.venv/ready: requirements.txt $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv .venv
+	$(BIN)/python -m pip install --quiet --requirement requirements.txt
+	$(BIN)/python -m pip install --quiet --no-deps --no-build-isolation \
+		$(foreach package,$(PACKAGES),--editable packages/$(package))
+	touch .venv/ready
+
+demo: setup
+	$(BIN)/python tools/demo.py
+
+test: setup
+	$(BIN)/python tools/run_tests.py
+
+lint: setup
+	$(BIN)/ruff format --check $(SOURCES)
+	$(BIN)/flake8 $(SOURCES)
+	$(BIN)/lint-imports
+
+format: setup
+	$(BIN)/ruff format $(SOURCES)
+
+clean:
+	rm -rf .venv
--- /dev/null
+++ b/packages/savoryyoke-edge/savoryyoke_edge/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, settings, metrics and platform readers shared by the daemons."""
--- /dev/null
+++ b/packages/savoryyoke-entry/savoryyoke_entry/__init__.py
@@ -0,0 +1,1 @@
+"""Entry daemon and operator commands."""
--- /dev/null
+++ b/packages/savoryyoke-fakes/savoryyoke_fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for engines, services and the platform."""
--- /dev/null
+++ b/packages/savoryyoke-wire/savoryyoke_wire/__init__.py
@@ -0,0 +1,1 @@
+"""Versioned protocol between the processes of savoryyoke."""
