--- /dev/null
+++ b/packages/savoryyoke-wire/savoryyoke_wire/conf.py
@@ -0,0 +1,12 @@
+"""Limits and versions of the protocol, the one place for its defaults."""
+
+VERSION_LOW = 1
+VERSION_HIGH = 1
+PREFACE = b'SYK\x01'
+
+FRAME_LENGTH_BYTES = 4
+FRAME_LIMIT_BYTES = 2 * 1024 * 1024
+UNPACKED_LIMIT_WORDS = FRAME_LIMIT_BYTES // 4
+TEXT_LIMIT_BYTES = 256 * 1024
+HEADERS_LIMIT = 64
+LIST_LIMIT = 1024
