--- a/packages/savoryyoke-wire/savoryyoke_wire/codec.py
+++ b/packages/savoryyoke-wire/savoryyoke_wire/codec.py
@@ -133,11 +133,14 @@
 
 
 def _read_member(envelope):
-    """Return the union's member, or None for one added after this version."""
+    """Return the union's member, or None for one added after this version.
+
+    The library reports a member that the schema lacks as a non-union type.
+    """
     try:
         member = str(envelope.which())
     except capnp.KjException as error:
-        if 'not in schema' in str(error):
+        if 'non-union type' in str(error):
             return None
         raise
     return member if member in _PLANS_BY_MEMBER else None
