Read the settings of the processes from flags and variables

Cause: both daemons need their identity, addresses and limits from flags and environment variables, and an operator needs every mistake at once.

Ruled out: the sources of pydantic-settings, which read the environment of the process, cannot be handed one, and pass over unknown variables.

Seen to fail: sixteen mutations, one at a time, each turned the suite red (precedence, unknown names passed over, mask removed, only the first fault kept, each check and bound removed). Dropping the refusal of NaN beside the bounds stayed green, because the bounds refuse it already; so it was taken out of the code.

--- /dev/null
+++ b/packages/savoryyoke-edge/savoryyoke_edge/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of the processes, read from flags and the environment."""
--- /dev/null
+++ b/packages/savoryyoke-edge/savoryyoke_edge/settings/schema.py
@@ -0,0 +1,248 @@
+"""Settings of the entry process and of the target process."""
+
+import enum
+from typing import Annotated
+from typing import ClassVar
+
+import pydantic
+
+from savoryyoke_edge.settings import addresses
+from savoryyoke_edge.settings import conf
+
+Identifier = Annotated[
+    str,
+    pydantic.StringConstraints(
+        pattern=r'^[A-Za-z0-9][A-Za-z0-9._-]*$', max_length=63
+    ),
+]
+ListenAddress = Annotated[
+    addresses.Address,
+    pydantic.PlainValidator(addresses.parse_address),
+    pydantic.PlainSerializer(str),
+]
+PeerAddress = Annotated[
+    addresses.Address,
+    pydantic.PlainValidator(addresses.parse_peer_address),
+    pydantic.PlainSerializer(str),
+]
+Url = Annotated[str, pydantic.AfterValidator(addresses.parse_url)]
+Timeout = Annotated[float, pydantic.Field(gt=0, le=conf.TIMEOUT_MAXIMUM_S)]
+Period = Annotated[float, pydantic.Field(gt=0, le=conf.PERIOD_MAXIMUM_S)]
+
+
+class LogLevel(enum.StrEnum):
+    """List the levels of the log, quietest first."""
+
+    ERROR = 'error'
+    WARNING = 'warning'
+    INFO = 'info'
+    DEBUG = 'debug'
+
+
+class BackendKind(enum.StrEnum):
+    """List what a target process may stand in front of."""
+
+    ENGINE = 'engine'
+    APPLICATION = 'application'
+
+
+class ProcessSettings(pydantic.BaseModel):
+    """Hold what the settings of both processes have in common."""
+
+    model_config = pydantic.ConfigDict(
+        extra='forbid', frozen=True, validate_default=True
+    )
+    prefix: ClassVar[str]
+
+    vm_id: Identifier = pydantic.Field(
+        description='Identifier of the VM, as the list of VMs names it.'
+    )
+    data_centre: Identifier = pydantic.Field(
+        description='Data centre that the VM stands in.'
+    )
+    region: Identifier = pydantic.Field(
+        default=conf.DEFAULT_REGION,
+        description='Region that the data centre belongs to.',
+    )
+    site: Identifier = pydantic.Field(
+        description="Site whose overlay of the operators' file applies."
+    )
+    platform_url: Url = pydantic.Field(
+        description='URL of the configuration service, http://host:port.'
+    )
+    admin_address: ListenAddress = pydantic.Field(
+        default=conf.ANY_PORT,
+        description=(
+            'Address for status, drain, metrics and health checks, host:port.'
+        ),
+    )
+    admin_token: pydantic.SecretStr | None = pydantic.Field(
+        default=None,
+        min_length=1,
+        description=(
+            'Bearer token that a drain must carry; required where the admin'
+            ' address is not a loopback address.'
+        ),
+    )
+    log_level: LogLevel = pydantic.Field(
+        default=LogLevel.INFO,
+        description='Least severe level that is logged.',
+    )
+    drain_timeout_s: Timeout = pydantic.Field(
+        default=conf.DRAIN_TIMEOUT_S,
+        description=(
+            'Time in seconds that a planned stop waits for requests in flight.'
+        ),
+    )
+    heartbeat_period_s: Period = pydantic.Field(
+        default=conf.HEARTBEAT_PERIOD_S,
+        description='Time in seconds between two heartbeats to a peer.',
+    )
+    platform_timeout_s: Timeout = pydantic.Field(
+        default=conf.PLATFORM_TIMEOUT_S,
+        description=(
+            'Time in seconds that one call of the configuration service may'
+            ' take, beyond the wait that a watch asks for.'
+        ),
+    )
+    configuration_period_s: Period = pydantic.Field(
+        default=conf.CONFIGURATION_PERIOD_S,
+        description=(
+            'Least time in seconds between two calls of the configuration'
+            ' service by this process.'
+        ),
+    )
+    seed: int | None = pydantic.Field(
+        default=None,
+        ge=0,
+        description=(
+            'Seed of the random generator; unset draws one at the start.'
+        ),
+    )
+
+
+class EntrySettings(ProcessSettings):
+    """Hold the settings of an entry process."""
+
+    prefix: ClassVar[str] = 'SAVORYYOKE_ENTRY_'
+
+    listen_address: ListenAddress = pydantic.Field(
+        default=conf.ANY_PORT,
+        description="Address for callers' HTTP, host:port; port 0 lets the"
+        ' kernel choose.',
+    )
+    advertised_address: PeerAddress | None = pydantic.Field(
+        default=None,
+        description=(
+            'Address that callers are told to use, host:port; unset means the'
+            ' bound address.'
+        ),
+    )
+    control_address: ListenAddress = pydantic.Field(
+        default=conf.ANY_PORT,
+        description='UDP address for messages between entries, host:port.',
+    )
+    advertised_control_address: PeerAddress | None = pydantic.Field(
+        default=None,
+        description=(
+            'UDP address that other entries are told to use, host:port; unset'
+            ' means the bound address.'
+        ),
+    )
+    suspicion_timeout_s: Timeout = pydantic.Field(
+        default=conf.SUSPICION_TIMEOUT_S,
+        description='Silence in seconds after which a peer is suspected.',
+    )
+    connect_timeout_s: Timeout = pydantic.Field(
+        default=conf.CONNECT_TIMEOUT_S,
+        description='Time in seconds that connecting to a target may take.',
+    )
+    header_timeout_s: Timeout = pydantic.Field(
+        default=conf.HEADER_TIMEOUT_S,
+        description=(
+            'Time in seconds that a caller may take to send its headers.'
+        ),
+    )
+    idle_timeout_s: Timeout = pydantic.Field(
+        default=conf.IDLE_TIMEOUT_S,
+        description=(
+            "Time in seconds that a caller's idle connection is kept open."
+        ),
+    )
+    body_limit_bytes: int = pydantic.Field(
+        default=conf.BODY_LIMIT_BYTES,
+        gt=0,
+        le=conf.BODY_LIMIT_MAXIMUM_BYTES,
+        description='Largest request body in bytes; a larger one is refused.',
+    )
+    connection_limit: int = pydantic.Field(
+        default=conf.CONNECTION_LIMIT,
+        gt=0,
+        le=conf.CONNECTION_LIMIT_MAXIMUM,
+        description="Largest number of callers' connections open at once.",
+    )
+    address_lifetime_s: Timeout = pydantic.Field(
+        default=conf.ADDRESS_LIFETIME_S,
+        description=(
+            'Time in seconds that a caller may keep the address that it was'
+            ' told.'
+        ),
+    )
+
+
+class TargetSettings(ProcessSettings):
+    """Hold the settings of a target process."""
+
+    prefix: ClassVar[str] = 'SAVORYYOKE_TARGET_'
+
+    service: Identifier = pydantic.Field(
+        description='Service or model group that the target serves.'
+    )
+    target_id: Identifier = pydantic.Field(
+        description='Identifier of the target, unique in the fleet.'
+    )
+    listen_address: ListenAddress = pydantic.Field(
+        default=conf.ANY_PORT,
+        description='TCP address for entries, host:port; port 0 lets the'
+        ' kernel choose.',
+    )
+    advertised_address: PeerAddress | None = pydantic.Field(
+        default=None,
+        description=(
+            'Address that entries are told to use, host:port; unset means the'
+            ' bound address.'
+        ),
+    )
+    backend_url: Url = pydantic.Field(
+        description='URL of the engine or application, http://host:port.'
+    )
+    backend_kind: BackendKind = pydantic.Field(
+        description='What stands behind the target: engine or application.'
+    )
+    backend_timeout_s: Timeout = pydantic.Field(
+        default=conf.BACKEND_TIMEOUT_S,
+        description=(
+            'Time in seconds that a call of the back end may take where the'
+            " operators' file gives none."
+        ),
+    )
+    connect_timeout_s: Timeout = pydantic.Field(
+        default=conf.CONNECT_TIMEOUT_S,
+        description=(
+            'Time in seconds that connecting to the back end may take.'
+        ),
+    )
+    ledger_limit_records: int = pydantic.Field(
+        default=conf.LEDGER_LIMIT_RECORDS,
+        gt=0,
+        le=conf.LEDGER_LIMIT_MAXIMUM_RECORDS,
+        description=(
+            'Largest number of non-idempotent calls that are remembered.'
+        ),
+    )
+    body_limit_bytes: int = pydantic.Field(
+        default=conf.BODY_LIMIT_BYTES,
+        gt=0,
+        le=conf.BODY_LIMIT_MAXIMUM_BYTES,
+        description='Largest body in bytes that is passed on in one message.',
+    )
