--- /dev/null
+++ b/packages/savoryyoke-edge/savoryyoke_edge/platform.py
@@ -0,0 +1,112 @@
+"""Read and watch the platform's service; nothing is ever written there."""
+
+import dataclasses
+import json
+
+import anyio
+import httpcore
+
+from savoryyoke_edge import exceptions
+
+VALUE_LIMIT_BYTES = 1024 * 1024 + 64 * 1024
+CALL_TIMEOUT_S = 5.0
+WATCH_TIMEOUT_S = 30.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Value:
+    """Hold one value of the configuration service and its revision."""
+
+    name: str
+    revision: int
+    text: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Vm:
+    """Hold one row of the platform's list of VMs."""
+
+    vm_id: str
+    role: str
+    data_centre: str
+    state: str
+    address: str
+    service: str = ''
+    region: str = ''
+    control_address: str = ''
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class VmList:
+    """Hold the platform's list of VMs, which lags behind reality."""
+
+    sequence: int
+    vms: tuple[Vm, ...]
+
+
+class PlatformReader:
+    """Read values and the VM list over HTTP."""
+
+    def __init__(self, *, url):
+        self._url = url.rstrip('/')
+        self._pool = httpcore.AsyncConnectionPool(max_connections=8)
+
+    async def read_value(self, name, *, after_revision=0, wait_s=0.0):
+        """Return the value ``name``, or None where none is newer in time.
+
+        ``after_revision`` with ``wait_s`` makes the call a waiting watch.
+        """
+        path = f'/v1/values/{name}?after={after_revision}&wait_s={wait_s}'
+        body = await self._get(path, timeout_s=CALL_TIMEOUT_S + wait_s)
+        if body is None:
+            return None
+        try:
+            return Value(
+                name=name,
+                revision=int(body['revision']),
+                text=str(body['text']),
+            )
+        except (KeyError, TypeError, ValueError) as error:
+            raise exceptions.PlatformUnavailable(
+                f'value {name} is malformed: {error}'
+            ) from error
+
+    async def read_vms(self):
+        """Return the platform's current ``VmList``."""
+        body = await self._get('/v1/vms', timeout_s=CALL_TIMEOUT_S)
+        try:
+            rows = tuple(Vm(**row) for row in body['vms'])
+            return VmList(sequence=int(body['sequence']), vms=rows)
+        except (KeyError, TypeError, ValueError) as error:
+            raise exceptions.PlatformUnavailable(
+                f'the VM list is malformed: {error}'
+            ) from error
+
+    async def _get(self, path, *, timeout_s):
+        try:
+            with anyio.fail_after(timeout_s):
+                async with self._pool.stream(
+                    'GET', self._url + path
+                ) as response:
+                    if response.status == 304:
+                        return None
+                    body = await _read_limited(response)
+        except (httpcore.NetworkError, httpcore.ProtocolError) as error:
+            raise exceptions.PlatformUnavailable(str(error)) from error
+        except (TimeoutError, OSError, httpcore.TimeoutException) as error:
+            raise exceptions.PlatformUnavailable('timeout') from error
+        if response.status != 200:
+            raise exceptions.PlatformUnavailable(f'status {response.status}')
+        try:
+            return json.loads(body)
+        except ValueError as error:
+            raise exceptions.PlatformUnavailable('not JSON') from error
+
+
+async def _read_limited(response):
+    body = bytearray()
+    async for part in response.aiter_stream():
+        body += part
+        if len(body) > VALUE_LIMIT_BYTES:
+            raise exceptions.PlatformUnavailable('the value is too large')
+    return bytes(body)
--- /dev/null
+++ b/packages/savoryyoke-edge/savoryyoke_edge/problems.py
@@ -0,0 +1,176 @@
+"""Build problem details (RFC 9457) with stable types.
+
+Each type says whether the call ran; ``docs/ref/problems.md`` lists them.
+"""
+
+import dataclasses
+import json
+import math
+
+TYPE_PREFIX = 'urn:savoryyoke:problem:'
+CONTENT_TYPE = 'application/problem+json'
+
+RAN = 'ran'
+NOT_RUN = 'not-run'
+MAY_HAVE_RUN = 'may-have-run'
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ProblemType:
+    """Describe one stable kind of refusal."""
+
+    name: str
+    status: int
+    title: str
+    outcome: str
+
+
+PROBLEM_TYPES_BY_NAME = {
+    kind.name: kind
+    for kind in (
+        ProblemType(
+            name='malformed-request',
+            status=400,
+            title='The request is malformed.',
+            outcome=NOT_RUN,
+        ),
+        ProblemType(
+            name='unknown-team',
+            status=403,
+            title='The team is not known.',
+            outcome=NOT_RUN,
+        ),
+        ProblemType(
+            name='unknown-operation',
+            status=404,
+            title='No service has this operation.',
+            outcome=NOT_RUN,
+        ),
+        ProblemType(
+            name='request-timeout',
+            status=408,
+            title='The request was not received in time.',
+            outcome=NOT_RUN,
+        ),
+        ProblemType(
+            name='body-too-large',
+            status=413,
+            title='The request is too large.',
+            outcome=NOT_RUN,
+        ),
+        ProblemType(
+            name='key-reused',
+            status=422,
+            title='The idempotency key belongs to another request.',
+            outcome=NOT_RUN,
+        ),
+        ProblemType(
+            name='binding-required',
+            status=428,
+            title='The idempotency key carries no binding.',
+            outcome=NOT_RUN,
+        ),
+        ProblemType(
+            name='limit-exceeded',
+            status=429,
+            title='The team is over its limit.',
+            outcome=NOT_RUN,
+        ),
+        ProblemType(
+            name='quarantined',
+            status=422,
+            title='This request crashes the targets that run it.',
+            outcome=NOT_RUN,
+        ),
+        ProblemType(
+            name='key-expired',
+            status=409,
+            title='The binding of the key has expired.',
+            outcome=NOT_RUN,
+        ),
+        ProblemType(
+            name='not-run',
+            status=503,
+            title='The call was refused and did not run.',
+            outcome=NOT_RUN,
+        ),
+        ProblemType(
+            name='not-answered',
+            status=503,
+            title='The idempotent call got no answer; it may be repeated.',
+            outcome=MAY_HAVE_RUN,
+        ),
+        ProblemType(
+            name='cut-off',
+            status=503,
+            title='This entry is cut off; use another.',
+            outcome=NOT_RUN,
+        ),
+        ProblemType(
+            name='may-have-run',
+            status=504,
+            title='The call may have run.',
+            outcome=MAY_HAVE_RUN,
+        ),
+        ProblemType(
+            name='answer-gone',
+            status=410,
+            title='The call ran; its answer is no longer kept.',
+            outcome=RAN,
+        ),
+        ProblemType(
+            name='answer-truncated',
+            status=502,
+            title='The answer broke off and could not be resumed.',
+            outcome=MAY_HAVE_RUN,
+        ),
+    )
+}
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Problem:
+    """Hold one refusal for a caller.
+
+    ``retry_after_s`` of None says that coming back does not help.
+    """
+
+    name: str
+    detail: str = ''
+    reason: str = ''
+    retry_after_s: float | None = None
+    same_key_may_return: bool | None = None
+    binding: str = ''
+
+    @property
+    def kind(self):
+        """Return the problem's type."""
+        return PROBLEM_TYPES_BY_NAME[self.name]
+
+    def build_body(self):
+        """Return the JSON body as bytes."""
+        body = {
+            'type': TYPE_PREFIX + self.name,
+            'title': self.kind.title,
+            'status': self.kind.status,
+            'outcome': self.kind.outcome,
+        }
+        if self.detail:
+            body['detail'] = self.detail
+        if self.reason:
+            body['reason'] = self.reason
+        if self.retry_after_s is not None:
+            body['retry_after_s'] = round(self.retry_after_s, 3)
+        if self.same_key_may_return is not None:
+            body['same_key_may_return'] = self.same_key_may_return
+        if self.binding:
+            body['binding'] = self.binding
+        return json.dumps(body).encode()
+
+    def build_headers(self):
+        """Return the HTTP headers as pairs of bytes."""
+        headers = [(b'content-type', CONTENT_TYPE.encode())]
+        if self.retry_after_s is not None:
+            seconds = max(1, math.ceil(self.retry_after_s))
+            headers.append((b'retry-after', str(seconds).encode()))
+        return headers
--- /dev/null
+++ b/packages/savoryyoke-target/savoryyoke_target/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of the target process, one module each."""
