Add a target's admission: warm-up, fair queue, deadlines

Cause: a target knows its own load first, so it has to decide what starts, waits or is refused, whatever the entries believe.

The change: an Admission aggregate with a concurrency limit that grows only by healthy completions started since the last cut, start-time fair queueing between teams, a bounded queue whose free part bounds each team, refusal of calls whose deadline is out of reach, and draining.

--- /dev/null
+++ b/packages/savoryyoke/savoryyoke/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Decide at a target which calls start, wait or are refused."""
--- /dev/null
+++ b/packages/savoryyoke/savoryyoke/admission/aggregates.py
@@ -0,0 +1,278 @@
+"""Decide which calls a target starts, queues and refuses."""
+
+import dataclasses
+import functools
+
+from savoryyoke.admission import conf
+from savoryyoke.admission import decisions
+from savoryyoke.admission import estimates
+from savoryyoke.admission import events
+from savoryyoke.admission import exceptions
+from savoryyoke.admission import promises
+from savoryyoke.admission import queues
+from savoryyoke.admission import warmup
+
+_Reason = decisions.RefusalReason
+
+
+@dataclasses.dataclass(kw_only=True)
+class _RunningCall:
+    cost: float
+    epoch: int
+    cancelable: bool
+    aborted: bool = False
+
+
+class Admission:
+    """Guard one target's back end against overload.
+
+    Each arrival gets exactly one Start or Refuse, at once or after a
+    Queue. A running call occupies its place until it is Finished, also
+    after an Abort. Events about unknown calls change nothing.
+    """
+
+    def __init__(self, *, limits, policy=None):
+        self._limits = limits
+        self._concurrency = warmup.ConcurrencyLimit(
+            limits=limits, policy=policy or conf.WarmUpPolicy()
+        )
+        self._queue = queues.FairQueue()
+        self._estimate = estimates.ServiceEstimate()
+        self._retries = promises.RetrySchedule()
+        self._running_by_id = {}
+        self._expired = []
+        self._draining = False
+
+    @property
+    def next_expiry_s(self):
+        """Return when a tick is due at the latest; None if no call waits."""
+        return self._queue.next_latest_start_s
+
+    def snapshot(self):
+        """Return the target's present load."""
+        return decisions.LoadReport(
+            running=len(self._running_by_id),
+            queued=len(self._queue),
+            concurrency_limit=self._concurrency.in_force,
+            cold=self._concurrency.cold,
+            draining=self._draining,
+            estimated_wait_s=self._wait_s(cost_ahead=self._queue.cost),
+        )
+
+    def apply(self, event, *, now_s):
+        """Take in an event and return the decisions that follow from it.
+
+        Raises UnknownEvent for other types and DuplicateCall for an
+        arrival under an id that waits or runs.
+        """
+        self._concurrency.notice_time(
+            now_s=now_s, running=len(self._running_by_id)
+        )
+        # Kept until an event is accepted: none may get lost by an error.
+        self._expired.extend(self._expire(now_s))
+        made = self._apply(event, now_s)
+        expired = tuple(self._expired)
+        self._expired.clear()
+        return expired + made + self._start_waiting()
+
+    @functools.singledispatchmethod
+    def _apply(self, event, now_s):
+        raise exceptions.UnknownEvent(type(event).__name__)
+
+    @_apply.register
+    def _(self, event: events.Ticked, now_s):
+        return ()
+
+    @_apply.register
+    def _(self, event: events.BackendRestarted, now_s):
+        self._concurrency.turn_cold()
+        return ()
+
+    @_apply.register
+    def _(self, event: events.BackendTurnedCold, now_s):
+        self._concurrency.turn_cold()
+        return ()
+
+    @_apply.register
+    def _(self, event: events.LimitsChanged, now_s):
+        self._limits = event.limits
+        self._concurrency.change_limits(limits=event.limits)
+        return ()
+
+    @_apply.register
+    def _(self, event: events.DrainStarted, now_s):
+        # Waiting calls did not run, so another target may run them.
+        self._draining = True
+        return tuple(
+            self._refuse_waiting(call_id, _Reason.DRAINING)
+            for call_id in self._queue.call_ids
+        )
+
+    @_apply.register
+    def _(self, event: events.DrainEnded, now_s):
+        self._draining = False
+        return ()
+
+    @_apply.register
+    def _(self, event: events.Cancelled, now_s):
+        running = self._running_by_id.get(event.call_id)
+        if running is not None:
+            return self._abort(event.call_id, running)
+        if self._queue.remove(event.call_id) is None:
+            return ()
+        return (self._refusal(event.call_id, _Reason.CANCELLED),)
+
+    @_apply.register
+    def _(self, event: events.Finished, now_s):
+        running_before = len(self._running_by_id)
+        running = self._running_by_id.pop(event.call_id, None)
+        if running is None or running.aborted:
+            return ()
+        if not event.succeeded:
+            self._concurrency.record_failure(epoch=running.epoch)
+            return ()
+        self._estimate.observe(
+            cost=running.cost, service_time_s=event.service_time_s
+        )
+        self._concurrency.record_success(
+            epoch=running.epoch,
+            limit_was_used=running_before >= self._concurrency.in_force,
+            service_s_per_cost=event.service_time_s / running.cost,
+            first_token_s=event.first_token_s,
+        )
+        return ()
+
+    @_apply.register
+    def _(self, event: events.Arrived, now_s):
+        if self._knows(event.call_id):
+            raise exceptions.DuplicateCall(event.call_id)
+        if self._draining:
+            return (self._refusal(event.call_id, _Reason.DRAINING),)
+        if event.remaining_s <= 0:
+            return (self._refusal(event.call_id, _Reason.DEADLINE_PASSED),)
+        if self._has_room() and not len(self._queue):
+            return self._queue_call(event, now_s)
+        wait_s = self._wait_s(cost_ahead=self._cost_ahead(event))
+        reason = self._objection(event, wait_s)
+        if reason is not None:
+            return (self._refuse_for_now(event, reason, wait_s, now_s),)
+        displaced = ()
+        if self._free_places() <= 0:
+            displaced = self._displace(event, wait_s, now_s)
+        queued = decisions.Queue(
+            call_id=event.call_id, estimated_wait_s=wait_s
+        )
+        return (*displaced, queued, *self._queue_call(event, now_s))
+
+    def _objection(self, event, wait_s):
+        """Return the reason to refuse an arrival that cannot start yet."""
+        service_s = self._estimate.service_s(cost=event.cost)
+        if wait_s + service_s > event.remaining_s:
+            return _Reason.DEADLINE_UNREACHABLE
+        own = self._queue.team_count(event.team)
+        free = self._free_places()
+        if free <= 0:
+            shorter = (own + 1) / event.weight
+            if self._queue.greatest_weighted_count <= shorter:
+                return _Reason.QUEUE_FULL
+        # A team may fill as much as it leaves free times its weight, so
+        # that no team's burst takes the whole queue.
+        elif own >= max(1.0, free * event.weight):
+            return _Reason.TEAM_QUEUE_FULL
+        return None
+
+    def _displace(self, event, wait_s, now_s):
+        call = self._queue.remove_last_of_longest()
+        return (self._refuse_for_now(call, _Reason.DISPLACED, wait_s, now_s),)
+
+    def _queue_call(self, event, now_s):
+        service_s = self._estimate.service_s(cost=event.cost)
+        slack_s = max(event.remaining_s - service_s, 0.0)
+        call = queues.QueuedCall(
+            call_id=event.call_id,
+            team=event.team,
+            weight=event.weight,
+            priority=event.priority,
+            cost=event.cost,
+            cancelable=event.cancelable,
+            arrived_s=now_s,
+            latest_start_s=now_s + slack_s,
+        )
+        self._queue.push(call)
+        return ()
+
+    def _start_waiting(self):
+        started = []
+        while self._has_room():
+            call = self._queue.pop()
+            if call is None:
+                break
+            self._running_by_id[call.call_id] = _RunningCall(
+                cost=call.cost,
+                epoch=self._concurrency.epoch,
+                cancelable=call.cancelable,
+            )
+            started.append(decisions.Start(call_id=call.call_id))
+        return tuple(started)
+
+    def _expire(self, now_s):
+        expired = self._queue.remove_expired(now_s=now_s)
+        wait_s = self._wait_s(cost_ahead=self._queue.cost)
+        return tuple(
+            self._refuse_for_now(call, _Reason.DEADLINE_PASSED, wait_s, now_s)
+            for call in expired
+        )
+
+    def _abort(self, call_id, running):
+        if running.aborted or not running.cancelable:
+            return ()
+        running.aborted = True
+        return (decisions.Abort(call_id=call_id),)
+
+    def _refuse_waiting(self, call_id, reason):
+        self._queue.remove(call_id)
+        return self._refusal(call_id, reason)
+
+    def _refuse_for_now(self, call, reason, wait_s, now_s):
+        service_s = self._estimate.service_s(cost=call.cost)
+        if reason is _Reason.DEADLINE_UNREACHABLE:
+            wait_s = wait_s + service_s - call.remaining_s
+        share = self._queue.share(team=call.team, weight=call.weight)
+        retry_after_s = self._retries.retry_after_s(
+            team=call.team,
+            wait_s=wait_s,
+            service_s=service_s / (share * self._concurrency.in_force),
+            now_s=now_s,
+        )
+        return self._refusal(call.call_id, reason, retry_after_s)
+
+    def _refusal(self, call_id, reason, retry_after_s=0.0):
+        return decisions.Refuse(
+            call_id=call_id, reason=reason, retry_after_s=retry_after_s
+        )
+
+    def _cost_ahead(self, event):
+        return self._queue.cost_ahead(
+            team=event.team,
+            weight=event.weight,
+            priority=event.priority,
+            cost=event.cost,
+        )
+
+    def _wait_s(self, *, cost_ahead):
+        if self._has_room() and not len(self._queue):
+            return 0.0
+        # The running calls count as one more mean call ahead.
+        return self._estimate.drain_s(
+            cost=cost_ahead + self._estimate.mean_cost,
+            concurrency=self._concurrency.in_force,
+        )
+
+    def _has_room(self):
+        return len(self._running_by_id) < self._concurrency.in_force
+
+    def _knows(self, call_id):
+        return call_id in self._running_by_id or call_id in self._queue
+
+    def _free_places(self):
+        return self._limits.queue_limit - len(self._queue)
--- /dev/null
+++ b/packages/savoryyoke/tests/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Test the admission package."""
--- /dev/null
+++ b/packages/savoryyoke/tests/admission/simulation.py
@@ -0,0 +1,63 @@
+"""Run an admission against scripted arrivals and a simple back end."""
+
+import heapq
+
+from savoryyoke.admission import decisions
+from savoryyoke.admission import events
+
+
+class Simulation:
+    """Drive one admission by virtual time and record what it decided.
+
+    ``service_time_s`` is called with the call, the number of running calls
+    and the time, and returns how long the back end takes for the call.
+    """
+
+    def __init__(self, *, admission, service_time_s):
+        self.admission = admission
+        self._service_time_s = service_time_s
+        self._pending = []
+        self._sequence = 0
+        self.arrivals_by_id = {}
+        self.started_s_by_id = {}
+        self.refusals_by_id = {}
+        self.limits = []
+
+    def schedule(self, *, at_s, event):
+        """Let an event happen at a time."""
+        self._sequence += 1
+        heapq.heappush(self._pending, (at_s, self._sequence, event))
+
+    def run(self):
+        """Handle all scheduled events and what follows from them."""
+        while self._pending:
+            now_s, _, event = heapq.heappop(self._pending)
+            if isinstance(event, events.Arrived):
+                self.arrivals_by_id[event.call_id] = (now_s, event)
+            for decision in self.admission.apply(event, now_s=now_s):
+                self._record(decision, now_s)
+            self.limits.append(self.admission.snapshot().concurrency_limit)
+
+    def waits_s(self, team):
+        """Return the sorted waits of a team's started calls."""
+        return sorted(
+            started_s - self.arrivals_by_id[call_id][0]
+            for call_id, started_s in self.started_s_by_id.items()
+            if self.arrivals_by_id[call_id][1].team == team
+        )
+
+    def _record(self, decision, now_s):
+        if isinstance(decision, decisions.Refuse):
+            self.refusals_by_id[decision.call_id] = (now_s, decision)
+        elif isinstance(decision, decisions.Start):
+            self._start(decision.call_id, now_s)
+
+    def _start(self, call_id, now_s):
+        self.started_s_by_id[call_id] = now_s
+        _, call = self.arrivals_by_id[call_id]
+        running = self.admission.snapshot().running
+        service_s = self._service_time_s(call, running, now_s)
+        finished = events.Finished(
+            call_id=call_id, succeeded=True, service_time_s=service_s
+        )
+        self.schedule(at_s=now_s + service_s, event=finished)
