--- a/packages/savoryyoke/savoryyoke/admission/promises.py
+++ b/packages/savoryyoke/savoryyoke/admission/promises.py
@@ -2,6 +2,8 @@
 
 from savoryyoke.admission import conf
 
+_LEAST_SWEEP = 64
+
 
 class RetrySchedule:
     """Give each refused call of a team its own place after the queue.
@@ -12,6 +14,7 @@
 
     def __init__(self):
         self._promised_until_s_by_team = {}
+        self._sweep_at = _LEAST_SWEEP
 
     def retry_after_s(self, *, team, wait_s, service_s, now_s):
         """Return the seconds after which a refused call should return.
@@ -28,10 +31,12 @@
         return place_s - now_s
 
     def _forget_past(self, now_s):
-        past = [
-            team
+        if len(self._promised_until_s_by_team) < self._sweep_at:
+            return
+        self._promised_until_s_by_team = {
+            team: until_s
             for team, until_s in self._promised_until_s_by_team.items()
-            if until_s <= now_s
-        ]
-        for team in past:
-            del self._promised_until_s_by_team[team]
+            if until_s > now_s
+        }
+        remaining = len(self._promised_until_s_by_team)
+        self._sweep_at = max(_LEAST_SWEEP, 2 * remaining)
--- /dev/null
+++ b/packages/savoryyoke/savoryyoke/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Hold teams' rate limits over all entries together."""
--- /dev/null
+++ b/packages/savoryyoke/savoryyoke/limits/exceptions.py
@@ -0,0 +1,13 @@
+"""Define the errors of the limits package."""
+
+
+class LimitsError(Exception):
+    """Serve as the base class of all errors of this package."""
+
+
+class UnknownEvent(LimitsError):
+    """Report an event type that the aggregate does not handle."""
+
+
+class InvalidTeamLimit(LimitsError):
+    """Report a limit that no entry could enforce."""
--- /dev/null
+++ b/packages/savoryyoke/tests/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Test the limits package."""
