--- /dev/null
+++ b/packages/savoryyoke/savoryyoke/retries/__init__.py
@@ -0,0 +1,1 @@
+"""Decide at an entry which failed or slow tries are repeated."""
--- /dev/null
+++ b/packages/savoryyoke/tests/retries/__init__.py
@@ -0,0 +1,1 @@
+"""Test the retries package."""
