--- /dev/null
+++ b/packages/savoryyoke/savoryyoke/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' file: its schema, merge rules, checks and revisions."""
--- /dev/null
+++ b/packages/savoryyoke/savoryyoke/configuration/policies.py
@@ -0,0 +1,72 @@
+"""Policies of a service: retries, warm-up, admission and idempotency."""
+
+import pydantic
+
+from savoryyoke.configuration import conf
+from savoryyoke.configuration import fields
+
+
+class Retry(fields.Part):
+    """Bound the retries of calls that may be repeated."""
+
+    budget_ratio: fields.Ratio = pydantic.Field(
+        default=conf.RETRY_BUDGET_RATIO,
+        description='Retries allowed, as a ratio of first attempts.',
+    )
+    max_attempts: int = pydantic.Field(
+        default=conf.RETRY_MAX_ATTEMPTS,
+        strict=True,
+        ge=1,
+        le=10,
+        description='Attempts allowed for one call, the first included.',
+    )
+
+
+class WarmUp(fields.Part):
+    """State how a fresh target is brought to full load."""
+
+    initial_concurrency: fields.Count = pydantic.Field(
+        default=conf.WARM_UP_INITIAL_CONCURRENCY,
+        description='Calls at once that a cold target is given.',
+    )
+    growth_per_success: float = pydantic.Field(
+        default=conf.WARM_UP_GROWTH_PER_SUCCESS,
+        strict=True,
+        gt=0,
+        le=1,
+        description='Calls at once that each healthy completion adds.',
+    )
+    cold_after_idle_s: fields.Lifetime = pydantic.Field(
+        default=conf.WARM_UP_COLD_AFTER_IDLE_S,
+        description='Time without a call, in seconds, that turns it cold.',
+    )
+
+
+class Admission(fields.Part):
+    """Bound what one target runs and queues."""
+
+    max_concurrency: fields.Count = pydantic.Field(
+        default=conf.ADMISSION_MAX_CONCURRENCY,
+        description='Calls at once that a warm target may run.',
+    )
+    queue_limit: fields.CountOrZero = pydantic.Field(
+        default=conf.ADMISSION_QUEUE_LIMIT,
+        description='Calls that may wait at a target; more are refused.',
+    )
+
+
+class Idempotency(fields.Part):
+    """Bound the memory of non-idempotent calls."""
+
+    key_lifetime_s: fields.Lifetime = pydantic.Field(
+        default=conf.IDEMPOTENCY_KEY_LIFETIME_S,
+        description='Time in seconds for which a key may be sent again.',
+    )
+    record_retention_s: fields.Lifetime = pydantic.Field(
+        default=conf.IDEMPOTENCY_RECORD_RETENTION_S,
+        description='Time in seconds for which an outcome is remembered.',
+    )
+    record_limit: fields.Count = pydantic.Field(
+        default=conf.IDEMPOTENCY_RECORD_LIMIT,
+        description='Outcomes remembered; beyond it new calls are refused.',
+    )
--- /dev/null
+++ b/packages/savoryyoke/savoryyoke/configuration/schema.py
@@ -0,0 +1,196 @@
+"""Schema of the merged operators' file, version 1.
+
+The fields, defaults and checks of a released version never change; an
+addition of any kind makes a new version. Hence two releases that both know
+the version which a file states judge the file alike.
+"""
+
+import enum
+from typing import Annotated
+from typing import Literal
+
+import pydantic
+
+from savoryyoke.configuration import conf
+from savoryyoke.configuration import fields
+from savoryyoke.configuration import policies
+
+
+class Method(enum.StrEnum):
+    """List the HTTP methods that an operation may have."""
+
+    DELETE = 'DELETE'
+    GET = 'GET'
+    HEAD = 'HEAD'
+    PATCH = 'PATCH'
+    POST = 'POST'
+    PUT = 'PUT'
+
+
+class ServiceKind(enum.StrEnum):
+    """List the kinds of services."""
+
+    APPLICATION = 'application'
+    MODEL_GROUP = 'model_group'
+
+
+class DataCentreState(enum.StrEnum):
+    """List whether a data centre takes new work."""
+
+    IN = 'in'
+    OUT = 'out'
+
+
+class Operation(fields.Part):
+    """Declare one operation of a service."""
+
+    method: Method = pydantic.Field(description='HTTP method, upper case.')
+    path: fields.Path = pydantic.Field(
+        description='Path of the request; ``{name}`` stands for one segment.'
+    )
+    idempotent: fields.Flag = pydantic.Field(
+        description='Whether a call may safely run more than once.'
+    )
+    timeout_s: fields.Timeout = pydantic.Field(
+        default=conf.OPERATION_TIMEOUT_S,
+        description='Time in seconds within which a call is answered.',
+    )
+    priority: fields.Priority = pydantic.Field(
+        default=conf.OPERATION_PRIORITY,
+        description='Importance of its calls; a higher number goes first.',
+    )
+
+
+class Model(fields.Part):
+    """Declare one model with its versions and adapters."""
+
+    versions: tuple[fields.Name, ...] = pydantic.Field(
+        min_length=1,
+        max_length=conf.VARIANTS_LIMIT,
+        description='Versions that may be loaded.',
+    )
+    default_version: fields.Name = pydantic.Field(
+        description='Version that serves calls which name none.'
+    )
+    adapters: tuple[fields.Name, ...] = pydantic.Field(
+        default=(),
+        max_length=conf.VARIANTS_LIMIT,
+        description='Adapters that may be loaded.',
+    )
+
+
+class Service(fields.Part):
+    """Hold what both kinds of services have in common."""
+
+    replicas: fields.Count = pydantic.Field(
+        description='Targets that serve it, in all data centres together.'
+    )
+    operations_by_name: fields.by_name(
+        Operation, limit=conf.OPERATIONS_LIMIT, least=1
+    ) = pydantic.Field(
+        alias='operations', description='Its operations, by name.'
+    )
+    checks_fencing: fields.Flag = pydantic.Field(
+        default=False,
+        description='Whether its targets refuse an old fencing token.',
+    )
+    retry: policies.Retry = policies.Retry()
+    warm_up: policies.WarmUp = policies.WarmUp()
+    admission: policies.Admission = policies.Admission()
+    idempotency: policies.Idempotency = policies.Idempotency()
+
+
+class ModelGroup(Service):
+    """Declare a group of expert-parallel model replicas."""
+
+    kind: Literal[ServiceKind.MODEL_GROUP] = pydantic.Field(
+        description='``model_group``.'
+    )
+    models_by_name: fields.by_name(Model, limit=conf.MODELS_LIMIT, least=1) = (
+        pydantic.Field(alias='models', description='Its models, by name.')
+    )
+    ranks_per_group: fields.Count = pydantic.Field(
+        description='Ranks that run one replica in lock-step.'
+    )
+    experts_per_layer: fields.Count = pydantic.Field(
+        description='Experts in each expert layer.'
+    )
+    expert_layers: fields.Count = pydantic.Field(
+        description='Layers that hold experts.'
+    )
+
+
+class Application(Service):
+    """Declare an application service."""
+
+    kind: Literal[ServiceKind.APPLICATION] = pydantic.Field(
+        description='``application``.'
+    )
+
+
+class Team(fields.Part):
+    """Declare a team, its share and its limits."""
+
+    weight: fields.Weight = pydantic.Field(
+        default=conf.TEAM_WEIGHT,
+        description='Share of a contended target, relative to other teams.',
+    )
+    priority_ceiling: fields.Priority = pydantic.Field(
+        default=conf.PRIORITY_HIGHEST,
+        description='Highest priority that its calls may have.',
+    )
+    requests_per_s: fields.Rate | None = pydantic.Field(
+        default=None,
+        description='Requests a second in the whole fleet; unset: no limit.',
+    )
+    tokens_per_s: fields.Rate | None = pydantic.Field(
+        default=None,
+        description='Tokens a second in the whole fleet; unset: no limit.',
+    )
+    max_concurrency: fields.Count | None = pydantic.Field(
+        default=None,
+        description='Calls at once in the whole fleet; unset: no limit.',
+    )
+    api_key_name: fields.Name | None = pydantic.Field(
+        default=None,
+        description='Name of the API key that identifies its callers.',
+    )
+
+
+class DataCentre(fields.Part):
+    """Declare a data centre and whether it takes new work."""
+
+    region: fields.Name = pydantic.Field(
+        description='Region that it belongs to.'
+    )
+    state: DataCentreState = pydantic.Field(
+        default=DataCentreState.IN,
+        description='``in``, or ``out`` to keep all new work away.',
+    )
+
+
+AnyService = Annotated[
+    ModelGroup | Application, pydantic.Field(discriminator='kind')
+]
+
+
+class Configuration(fields.Part):
+    """Hold the whole merged file."""
+
+    schema_version: int = pydantic.Field(
+        strict=True,
+        ge=1,
+        le=1,
+        description='Version of this schema that the file is written for.',
+    )
+    data_centres_by_name: fields.by_name(
+        DataCentre, limit=conf.DATA_CENTRES_LIMIT, least=1
+    ) = pydantic.Field(
+        alias='data_centres', description='Data centres, by name.'
+    )
+    services_by_name: fields.by_name(
+        AnyService, limit=conf.SERVICES_LIMIT, least=1
+    ) = pydantic.Field(alias='services', description='Services, by name.')
+    teams_by_name: fields.by_name(Team, limit=conf.TEAMS_LIMIT, least=1) = (
+        pydantic.Field(alias='teams', description='Teams, by name.')
+    )
