Choose targets by the expected time to the first token

Cause: an entry needs a target for each request, from reports that lag and that hundreds of other entries read as well.

Ruled out: the least reported load of all targets (entries herd on it), random subsets chosen by the entry (uneven number of entries for each target).

Change: a router samples two targets, holders of the prompt's prefix and one affine target, scores them and picks among near-equals with a seeded generator. Targets select their entries by rendezvous hashing.

--- /dev/null
+++ b/packages/savoryyoke/savoryyoke/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choose the target of each request of one service."""
--- /dev/null
+++ b/packages/savoryyoke/savoryyoke/routing/choices.py
@@ -0,0 +1,226 @@
+"""Choose among a few candidate targets of a service."""
+
+from savoryyoke.routing import decisions
+from savoryyoke.routing import scoring
+from savoryyoke.routing import subsets
+
+_DRAWS_PER_BATCH = 1024
+
+
+class Draws:
+    """Draw random numbers from a seeded generator, in batches."""
+
+    def __init__(self, *, generator):
+        self._generator = generator
+        self._values = []
+
+    def draw(self):
+        """Return a number from 0 up to but not including 1."""
+        if not self._values:
+            self._values = self._generator.random(_DRAWS_PER_BATCH).tolist()
+        return self._values.pop()
+
+    def pick(self, items):
+        """Return one of the items of a sequence."""
+        return items[int(self.draw() * len(items))]
+
+
+class Chooser:
+    """Make one choice from the state of a router."""
+
+    def __init__(self, *, registry, beliefs, draws, summary, settings, now_s):
+        self._registry = registry
+        self._beliefs = beliefs
+        self._draws = draws
+        self._summary = summary
+        self._settings = settings
+        self._now_s = now_s
+        self._lowest_wait_s = None
+
+    def choose(self, request):
+        """Return `Chosen` or `NoTarget` for a request."""
+        usable = self._registry.get_usable()
+        if not usable:
+            return self._refuse_all_out()
+        digests = request.prefix_digests[: self._settings.digests_limit]
+        found = self._gather(request, digests=digests)
+        candidates = self._score_all(found, request, digests=digests)
+        if not candidates:
+            reason = decisions.ChoiceReason.SCANNED
+            found = {state.target_id: (state, reason) for state in usable}
+            candidates = self._score_all(found, request, digests=digests)
+        if not candidates:
+            return self._refuse(request)
+        return self._pick(candidates)
+
+    def _gather(self, request, *, digests):
+        """Return states and reasons by target id, the best reason first."""
+        found = {}
+        self._add_holders(found, digests=digests)
+        self._add_affine(found, request, digests=digests)
+        usable = self._registry.get_usable()
+        reason = decisions.ChoiceReason.SAMPLED
+        for _ in range(self._settings.random_candidates):
+            state = self._draws.pick(usable)
+            found.setdefault(state.target_id, (state, reason))
+        return found
+
+    def _add_holders(self, found, *, digests):
+        holders = list(self._beliefs.find_holders(digests=digests))
+        reason = decisions.ChoiceReason.PREFIX
+        for _ in range(min(len(holders), self._settings.prefix_candidates)):
+            target_id = self._draws.pick(holders)
+            holders.remove(target_id)
+            state = self._registry.get(target_id)
+            if self._registry.is_usable(state):
+                found[target_id] = (state, reason)
+
+    def _add_affine(self, found, request, *, digests):
+        """Add the first target of the ring that is not overloaded."""
+        key = request.adapter.encode()
+        if digests:
+            key += digests[0]
+        if not key:
+            return
+        key += request.model.encode() + request.version.encode()
+        reason = decisions.ChoiceReason.AFFINITY
+        walk = self._registry.get_ring().walk(
+            key_hash=subsets.hash_bytes(key),
+            steps=self._settings.affinity_steps,
+        )
+        for target_id in walk:
+            state = self._registry.get(target_id)
+            if self._is_below_mean(state):
+                found.setdefault(target_id, (state, reason))
+                return
+
+    def _is_below_mean(self, state):
+        load = self._estimate_load(state)
+        usual = self._summary.mean_occupancy * state.limit + 1.0
+        return load + 1.0 <= self._settings.affinity_load_factor * usual
+
+    def _estimate_load(self, state):
+        return state.estimate_load(
+            mean_occupancy=self._summary.mean_occupancy, now_s=self._now_s
+        )
+
+    def _score_all(self, found, request, *, digests):
+        candidates = []
+        for state, reason in found.values():
+            if state.target_id in request.excluded_target_ids:
+                continue
+            candidate = self._score(
+                state, request, digests=digests, reason=reason
+            )
+            if candidate is not None:
+                candidates.append(candidate)
+        return candidates
+
+    def _score(self, state, request, *, digests, reason):
+        """Return a candidate, or None where the target has no room."""
+        load = self._estimate_load(state)
+        wait_s = state.estimate_wait(
+            load, call_s=self._summary.mean_call_s, now_s=self._now_s
+        )
+        if not state.has_room(
+            load, priority=request.priority, now_s=self._now_s
+        ):
+            return None
+        if self._lowest_wait_s is None or wait_s < self._lowest_wait_s:
+            self._lowest_wait_s = wait_s
+        if wait_s > request.remaining_s:
+            return None
+        matched = self._beliefs.count_matched(
+            target_id=state.target_id, digests=digests
+        )
+        score_s = scoring.score_target(
+            state,
+            load=load,
+            wait_s=wait_s,
+            saving_s=self._estimate_saving(state, matched=matched),
+            summary=self._summary,
+            settings=self._settings,
+            now_s=self._now_s,
+        )
+        if reason is decisions.ChoiceReason.AFFINITY:
+            score_s -= self._settings.affinity_bonus_s
+        return decisions.Candidate(
+            target_id=state.target_id,
+            score_s=score_s,
+            wait_s=wait_s,
+            matched_digests=matched,
+            reason=reason,
+        )
+
+    def _estimate_saving(self, state, *, matched):
+        if not matched:
+            return 0.0
+        return scoring.estimate_saving(
+            matched=matched,
+            confidence=self._beliefs.get_confidence(target_id=state.target_id),
+            settings=self._settings,
+        )
+
+    def _pick(self, candidates):
+        best_s = min(candidate.score_s for candidate in candidates)
+        slack_s = max(
+            self._settings.near_equal_s,
+            abs(best_s) * self._settings.near_equal_ratio,
+        )
+        near = [
+            candidate
+            for candidate in candidates
+            if candidate.score_s <= best_s + slack_s
+        ]
+        picked = self._draws.pick(near)
+        state = self._registry.get(picked.target_id)
+        return decisions.Chosen(
+            target_id=state.target_id,
+            incarnation=state.incarnation,
+            address=state.address,
+            reason=picked.reason,
+            candidates=tuple(candidates),
+        )
+
+    def _refuse_all_out(self):
+        reason = decisions.NoTargetReason.ALL_OUT
+        if not len(self._registry):
+            reason = decisions.NoTargetReason.NO_TARGETS
+        return decisions.NoTarget(
+            reason=reason, retry_after_s=self._settings.retry_after_out_s
+        )
+
+    def _refuse(self, request):
+        usable = self._registry.get_usable()
+        left = [
+            state
+            for state in usable
+            if state.target_id not in request.excluded_target_ids
+        ]
+        reason = decisions.NoTargetReason.OVERLOADED
+        if not left:
+            reason = decisions.NoTargetReason.ALL_EXCLUDED
+        elif self._lowest_wait_s is not None:
+            reason = decisions.NoTargetReason.DEADLINE
+        elif all(state.is_cold for state in left):
+            reason = decisions.NoTargetReason.ALL_COLD
+        return decisions.NoTarget(
+            reason=reason, retry_after_s=self._estimate_retry(left)
+        )
+
+    def _estimate_retry(self, states):
+        """Return when room is expected, spread so that callers differ."""
+        settings = self._settings
+        waits_s = [
+            state.estimate_wait(
+                self._estimate_load(state),
+                call_s=self._summary.mean_call_s,
+                now_s=self._now_s,
+            )
+            for state in states
+        ]
+        retry_s = max(
+            settings.retry_after_minimum_s, min(waits_s, default=0.0)
+        )
+        retry_s = min(retry_s, settings.retry_after_limit_s)
+        return retry_s * (1.0 + 0.5 * self._draws.draw())
--- /dev/null
+++ b/packages/savoryyoke/savoryyoke/routing/events.py
@@ -0,0 +1,182 @@
+"""Define what a router learns, one class for each event."""
+
+import dataclasses
+import enum
+
+
+class DataCentreState(enum.Enum):
+    """Tell whether a data centre may get new work."""
+
+    IN = 'in'
+    OUT = 'out'
+
+
+class RefusalReason(enum.Enum):
+    """Tell why a target refused a call without running it."""
+
+    COLD = 'cold'
+    OVERLOADED = 'overloaded'
+    LEAVING = 'leaving'
+
+
+class Outcome(enum.Enum):
+    """Tell how a call ended."""
+
+    ANSWERED = 'answered'
+    FAILED = 'failed'
+    CANCELLED = 'cancelled'
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class TargetSeen:
+    """Report a target that serves the service.
+
+    ``incarnation`` grows each time the target's process starts.
+    """
+
+    target_id: str
+    incarnation: int
+    data_centre: str
+    address: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class TargetLeaving:
+    """Report that an incarnation of a target takes no new work."""
+
+    target_id: str
+    incarnation: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class TargetGone:
+    """Report that an incarnation of a target has ended."""
+
+    target_id: str
+    incarnation: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class TargetReachable:
+    """Report that the connection to a target is up."""
+
+    target_id: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class TargetUnreachable:
+    """Report that the connection to a target is down."""
+
+    target_id: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class LoadReported:
+    """Report the load of a target.
+
+    ``stamp_s`` is read from the sender's monotonic clock, in seconds, and
+    orders the reports of one incarnation. ``running`` and ``queued`` count
+    calls; ``limit`` counts the calls that the target runs at once.
+    """
+
+    target_id: str
+    incarnation: int
+    stamp_s: float
+    running: int
+    queued: int
+    limit: int
+    estimated_wait_s: float
+    cold: bool
+    kv_free_ratio: float = 1.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CacheEventSeen:
+    """Report changes of a target's prefix cache.
+
+    ``sequence`` grows by one for each event of an incarnation. ``reset``
+    tells that the cache was emptied before ``added`` entered it.
+    """
+
+    target_id: str
+    incarnation: int
+    sequence: int
+    added: tuple[bytes, ...] = ()
+    evicted: tuple[bytes, ...] = ()
+    reset: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class DataCentreStateChanged:
+    """Report that operators took a data centre out or brought it back."""
+
+    data_centre: str
+    state: DataCentreState
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class PeersChanged:
+    """Report the entries of the fleet, this one included."""
+
+    data_centres_by_entry_id: dict[str, str]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Dispatched:
+    """Report that this entry sent a call to a target.
+
+    ``cost`` is the work of the call in units of a usual call.
+    """
+
+    call_id: str
+    target_id: str
+    cost: float = 1.0
+    priority: int = 1
+    prefix_digests: tuple[bytes, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class FirstToken:
+    """Report the first token of a call's answer.
+
+    ``cached_digests`` counts the leading prefix digests that the target
+    found in its cache, or is None where the answer does not tell.
+    """
+
+    call_id: str
+    latency_s: float
+    cached_digests: int | None = None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Completed:
+    """Report the end of a call; ``latency_s`` counts from its dispatch."""
+
+    call_id: str
+    outcome: Outcome
+    latency_s: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Refused:
+    """Report that a target refused a call without running it."""
+
+    call_id: str
+    target_id: str
+    retry_after_s: float
+    reason: RefusalReason
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ConfigurationApplied:
+    """Report the configuration in force.
+
+    ``distances_s_by_data_centre`` gives the one-way delay from this entry.
+    An older ``revision`` than the one in force is rejected.
+    """
+
+    revision: int
+    distances_s_by_data_centre: dict[str, float] = dataclasses.field(
+        default_factory=dict
+    )
+    data_centres_out: frozenset[str] = frozenset()
--- /dev/null
+++ b/packages/savoryyoke/savoryyoke/routing/scoring.py
@@ -0,0 +1,73 @@
+"""Score targets by the expected time to the first token."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ServiceSummary:
+    """Hold the means of a service over the targets of an entry.
+
+    ``mean_occupancy`` is the reported load as a multiple of the limit.
+    """
+
+    mean_occupancy: float
+    mean_first_token_s: float
+    mean_call_s: float
+
+
+def summarize(states, *, settings, now_s):
+    """Return the means over some targets."""
+    load = limit = 0
+    for state in states:
+        if state.report is not None:
+            load += state.report.running + state.report.queued
+            limit += state.report.limit
+    count = max(1, len(states))
+    first_token_s = sum(
+        state.read_first_token(
+            now_s=now_s, default=settings.default_first_token_s
+        )
+        for state in states
+    )
+    call_s = sum(
+        state.read_call(now_s=now_s, default=settings.default_call_s)
+        for state in states
+    )
+    return ServiceSummary(
+        mean_occupancy=load / limit if limit else 0.0,
+        mean_first_token_s=first_token_s / count,
+        mean_call_s=call_s / count,
+    )
+
+
+def score_target(state, *, load, wait_s, saving_s, summary, settings, now_s):
+    """Return the expected time to the first token, in seconds.
+
+    ``load`` and ``wait_s`` are the expected calls and the expected wait at
+    the target; ``saving_s`` is what its prefix cache is expected to save.
+    """
+    first_token_s = state.read_first_token(
+        now_s=now_s, default=summary.mean_first_token_s
+    )
+    excess_s = first_token_s - summary.mean_first_token_s
+    straggler_s = min(max(0.0, excess_s), settings.straggler_limit_s)
+    occupancy = load / max(1, state.limit)
+    score_s = wait_s + state.distance_s + straggler_s - saving_s
+    score_s += summary.mean_first_token_s * (1.0 + occupancy)
+    if state.is_cold:
+        score_s += settings.cold_penalty_s
+    return score_s + _rate_kv_pressure(state, settings=settings)
+
+
+def _rate_kv_pressure(state, *, settings):
+    if state.report is None:
+        return 0.0
+    bound = settings.kv_pressure_below_ratio
+    lack = max(0.0, 1.0 - state.report.kv_free_ratio / bound)
+    return lack * settings.kv_pressure_penalty_s
+
+
+def estimate_saving(*, matched, confidence, settings):
+    """Return the time that a cached prefix saves, in seconds, bounded."""
+    saving_s = matched * settings.block_prefill_s * confidence
+    return min(saving_s, settings.prefix_saving_limit_s)
--- /dev/null
+++ b/packages/savoryyoke/savoryyoke/routing/utils.py
@@ -0,0 +1,38 @@
+"""Hold small numeric parts of routing."""
+
+import math
+
+
+class DecayingMean:
+    """Average samples and forget the average when no sample follows."""
+
+    __slots__ = ('_half_life_s', '_updated_at_s', '_value', '_weight')
+
+    def __init__(self, *, weight, half_life_s):
+        self._weight = weight
+        self._half_life_s = half_life_s
+        self._value = None
+        self._updated_at_s = 0.0
+
+    def add(self, sample, *, now_s):
+        """Take a sample into the average."""
+        if self._value is None:
+            self._value = sample
+        else:
+            self._value += self._weight * (sample - self._value)
+        self._updated_at_s = now_s
+
+    def read(self, *, now_s, default):
+        """Return the average, drawn towards ``default`` as it ages."""
+        if self._value is None:
+            return default
+        age_s = max(0.0, now_s - self._updated_at_s)
+        kept = 0.5 ** (age_s / self._half_life_s)
+        return default + (self._value - default) * kept
+
+
+def is_between(value, *, lowest, highest):
+    """Return whether a value is a finite number within bounds."""
+    if isinstance(value, bool) or not isinstance(value, (int, float)):
+        return False
+    return math.isfinite(value) and lowest <= value <= highest
--- /dev/null
+++ b/packages/savoryyoke/tests/routing/test_subsets.py
@@ -0,0 +1,67 @@
+"""Test which entries connect to which targets."""
+
+import collections
+import unittest
+
+from savoryyoke.routing import conf
+from savoryyoke.routing import subsets
+
+ENTRIES = 350
+TARGETS = 1300
+DATA_CENTRES = 6
+
+
+def select_all(*, entries, targets=range(TARGETS)):
+    """Return the set of (entry, target) connections."""
+    table = subsets.EntryTable(
+        data_centres_by_entry_id={
+            f'entry-{number}': f'dc-{number % DATA_CENTRES}'
+            for number in entries
+        }
+    )
+    settings = conf.RoutingSettings()
+    count = subsets.count_sharers(
+        entries=len(entries), targets=len(targets), settings=settings
+    )
+    pairs = set()
+    for number in targets:
+        sharers = table.select_sharers(
+            target_id=f'target-{number}',
+            data_centre=f'dc-{number % DATA_CENTRES}',
+            count=count,
+            near_share=settings.near_share,
+        )
+        pairs.update((entry_id, number) for entry_id in sharers)
+    return pairs
+
+
+class SubsetTest(unittest.TestCase):
+    """Check balance and churn of the connections at the stated size."""
+
+    def test_every_target_has_the_same_number_of_entries(self):
+        """Bound the targets of an entry and fix the entries of a target."""
+        pairs = select_all(entries=range(ENTRIES))
+        by_target = collections.Counter(number for _, number in pairs)
+        by_entry = collections.Counter(entry_id for entry_id, _ in pairs)
+        self.assertEqual({11}, set(by_target.values()))
+        self.assertEqual(TARGETS, len(by_target))
+        self.assertEqual(ENTRIES, len(by_entry))
+        self.assertGreaterEqual(min(by_entry.values()), 20)
+        self.assertLessEqual(max(by_entry.values()), 70)
+
+    def test_one_entry_moves_only_its_own_connections(self):
+        """Bound the change when an entry leaves."""
+        before = select_all(entries=range(ENTRIES))
+        after = select_all(entries=range(ENTRIES - 1))
+        leaver = f'entry-{ENTRIES - 1}'
+        lost = before - after
+        self.assertEqual({leaver}, {entry_id for entry_id, _ in lost})
+        self.assertEqual(len(lost), len(after - before))
+
+    def test_one_target_moves_only_its_own_connections(self):
+        """Bound the change when a target leaves."""
+        before = select_all(entries=range(ENTRIES))
+        after = select_all(entries=range(ENTRIES), targets=range(TARGETS - 1))
+        self.assertEqual(
+            {TARGETS - 1}, {number for _, number in before ^ after}
+        )
