Stop requests that crash each back end that runs them

Cause: one request may crash each target that runs it and is sent again with a new key; its batch goes down with it and must not be blamed.

Ruled out: counting crashes per request at each entry (the batch is blamed as well, and each entry learns alone); convicting whatever took part in two crashes (a batch that is repeated together is convicted as a whole).

The change: mergeable evidence of which requests were in flight at which crash and which of them succeeded since.

--- /dev/null
+++ b/packages/savoryyoke/savoryyoke/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Stop requests that crash each back end that runs them."""
--- /dev/null
+++ b/packages/savoryyoke/savoryyoke/quarantine/aggregates.py
@@ -0,0 +1,168 @@
+"""Decide which requests run, run in isolation or are refused for good."""
+
+import collections
+import functools
+
+from savoryyoke.quarantine import conf
+from savoryyoke.quarantine import decisions
+from savoryyoke.quarantine import events
+from savoryyoke.quarantine import evidence
+from savoryyoke.quarantine import exceptions
+
+_Verdict = evidence.Verdict
+
+
+class Quarantine:
+    """Track requests that crash back ends, at an entry or a target.
+
+    Both roles hold the same mergeable evidence. An entry asks with
+    CallOffered, a target with RunRequested right before a start. A target
+    runs one suspect at a time, beside calls that are clear.
+    """
+
+    def __init__(self, *, policy=None):
+        self._policy = policy or conf.QuarantinePolicy()
+        self._evidence = evidence.Evidence(policy=self._policy)
+        self._fingerprints_by_call_id = {}
+        self._succeeded_s_by_fingerprint = collections.OrderedDict()
+
+    def verdict(self, fingerprint):
+        """Return the present verdict on a request."""
+        return self._evidence.verdict(fingerprint)
+
+    def apply(self, event, *, now_s):
+        """Take in an event and return the decisions that follow from it.
+
+        Raises UnknownEvent for other types.
+        """
+        self._evidence.forget_expired(now_s=now_s)
+        return self._apply(event, now_s)
+
+    @functools.singledispatchmethod
+    def _apply(self, event, now_s):
+        raise exceptions.UnknownEvent(type(event).__name__)
+
+    @_apply.register
+    def _(self, event: events.CallOffered, now_s):
+        verdict = self.verdict(event.fingerprint)
+        if verdict is _Verdict.CONVICTED:
+            return (self._refuse(event, now_s),)
+        if verdict is _Verdict.SUSPECT:
+            reports = self._evidence.reports_about(
+                event.fingerprint, now_s=now_s
+            )
+            return (decisions.Isolate(call_id=event.call_id, reports=reports),)
+        return (decisions.Route(call_id=event.call_id),)
+
+    @_apply.register
+    def _(self, event: events.RunRequested, now_s):
+        stopped = self._merge(event.reports, now_s)
+        verdict = self.verdict(event.fingerprint)
+        if verdict is _Verdict.CONVICTED:
+            return (*stopped, self._refuse(event, now_s))
+        suspect = verdict is _Verdict.SUSPECT
+        isolated = self._running_suspects() if suspect else frozenset()
+        if isolated:
+            refusal = decisions.RefuseWhileIsolating(
+                call_id=event.call_id,
+                same_request=event.fingerprint in isolated,
+            )
+            return (*stopped, refusal)
+        self._fingerprints_by_call_id[event.call_id] = event.fingerprint
+        run = decisions.Run(call_id=event.call_id, suspect=suspect)
+        return (*stopped, run)
+
+    @_apply.register
+    def _(self, event: events.RunEnded, now_s):
+        fingerprint = self._fingerprints_by_call_id.pop(event.call_id, None)
+        if fingerprint is not None and event.succeeded:
+            self._note_success(fingerprint, now_s)
+        return ()
+
+    @_apply.register
+    def _(self, event: events.CallSucceeded, now_s):
+        self._note_success(event.fingerprint, now_s)
+        return ()
+
+    @_apply.register
+    def _(self, event: events.BackendCrashed, now_s):
+        fingerprints = frozenset(self._fingerprints_by_call_id.values())
+        self._fingerprints_by_call_id.clear()
+        if not fingerprints:
+            return ()
+        report = evidence.CrashReport(
+            crash_id=event.crash_id,
+            fingerprints=fingerprints,
+            remaining_s=self._policy.evidence_s,
+        )
+        self._merge((report,), now_s)
+        known = {
+            known.crash_id: known
+            for fingerprint in fingerprints
+            for known in self._evidence.reports_about(fingerprint, now_s=now_s)
+        }
+        reports = tuple(known[crash_id] for crash_id in sorted(known))
+        return (decisions.ShareReports(reports=reports, urgent=True),)
+
+    @_apply.register
+    def _(self, event: events.ReportsReceived, now_s):
+        return self._merge(event.reports, now_s)
+
+    @_apply.register
+    def _(self, event: events.HeartbeatDue, now_s):
+        reports = self._evidence.next_reports(
+            count=event.report_limit, now_s=now_s
+        )
+        if not reports:
+            return ()
+        return (decisions.ShareReports(reports=reports, urgent=False),)
+
+    def _merge(self, reports, now_s):
+        changed = [
+            report
+            for report in reports
+            if self._evidence.merge(report, now_s=now_s)
+        ]
+        if not changed:
+            return ()
+        self._forget_successes(now_s)
+        for report in changed:
+            for fingerprint in report.fingerprints:
+                if fingerprint in self._succeeded_s_by_fingerprint:
+                    self._evidence.clear(fingerprint)
+        return tuple(
+            decisions.StopRun(call_id=call_id)
+            for call_id, fingerprint in self._fingerprints_by_call_id.items()
+            if self.verdict(fingerprint) is _Verdict.CONVICTED
+        )
+
+    def _refuse(self, event, now_s):
+        reports = self._evidence.reports_about(event.fingerprint, now_s=now_s)
+        return decisions.RefuseForGood(
+            call_id=event.call_id,
+            fingerprint=event.fingerprint,
+            crashes=len(reports),
+        )
+
+    def _running_suspects(self):
+        return frozenset(
+            fingerprint
+            for fingerprint in self._fingerprints_by_call_id.values()
+            if self.verdict(fingerprint) is _Verdict.SUSPECT
+        )
+
+    def _note_success(self, fingerprint, now_s):
+        self._evidence.clear(fingerprint)
+        self._succeeded_s_by_fingerprint[fingerprint] = now_s
+        self._succeeded_s_by_fingerprint.move_to_end(fingerprint)
+        self._forget_successes(now_s)
+
+    def _forget_successes(self, now_s):
+        successes = self._succeeded_s_by_fingerprint
+        oldest_s = now_s - self._policy.success_memory_s
+        while successes:
+            fingerprint, succeeded_s = next(iter(successes.items()))
+            if len(successes) <= self._policy.success_limit:
+                if succeeded_s > oldest_s:
+                    break
+            del successes[fingerprint]
--- /dev/null
+++ b/packages/savoryyoke/savoryyoke/quarantine/conf.py
@@ -0,0 +1,35 @@
+"""Hold the defaults of the quarantine package."""
+
+import dataclasses
+
+from savoryyoke.quarantine import exceptions
+
+FINGERPRINT_BYTES = 8
+# Fields that callers change from one try to the next.
+IGNORED_FIELDS = frozenset(
+    {'idempotency_key', 'metadata', 'request_id', 'stream', 'user'}
+)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class QuarantinePolicy:
+    """State how much evidence convicts and how long it is kept.
+
+    ``crashes_to_convict`` counts distinct crashes that no other request
+    explains as well. Evidence expires ``evidence_s`` after the crash and
+    is not passed on in its last ``silent_s``. A success clears a request
+    of the crashes known then or heard of within ``success_memory_s``.
+    """
+
+    crashes_to_convict: int = 2
+    evidence_s: float = 3600.0
+    silent_s: float = 10.0
+    success_memory_s: float = 30.0
+    crash_limit: int = 256
+    success_limit: int = 4096
+
+    def __post_init__(self):
+        if self.crashes_to_convict < 2:
+            raise exceptions.InvalidPolicy(
+                'one crash cannot tell a request from its batch'
+            )
--- /dev/null
+++ b/packages/savoryyoke/savoryyoke/quarantine/evidence.py
@@ -0,0 +1,203 @@
+"""Merge what processes know of crashes and draw verdicts from it."""
+
+import collections
+import dataclasses
+import enum
+
+
+class Verdict(enum.Enum):
+    """Say what the evidence bears on a request."""
+
+    CLEAR = 'clear'
+    SUSPECT = 'suspect'
+    CONVICTED = 'convicted'
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CrashReport:
+    """Describe one crash of one back end for other processes.
+
+    ``fingerprints`` were in flight; those in ``cleared`` have succeeded
+    since. ``remaining_s`` is how long the evidence is still kept.
+    """
+
+    crash_id: str
+    fingerprints: frozenset[bytes]
+    cleared: frozenset[bytes] = frozenset()
+    remaining_s: float
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Crash:
+    fingerprints: frozenset[bytes]
+    cleared: frozenset[bytes]
+    expires_s: float
+    times_sent: int = 0
+
+    @property
+    def suspects(self):
+        """Return the fingerprints that may have caused the crash."""
+        return self.fingerprints - self.cleared
+
+
+class Evidence:
+    """Hold crashes; merging is commutative, associative and idempotent.
+
+    Sets grow by union and the earlier expiry wins, so that the order and
+    number of messages make no difference.
+    """
+
+    def __init__(self, *, policy):
+        self._policy = policy
+        self._crashes_by_id = {}
+        self._crash_ids_by_fingerprint = collections.defaultdict(set)
+        self._judgement = None
+
+    def merge(self, report, *, now_s):
+        """Take in a report; return whether it told anything new."""
+        if report.remaining_s <= 0:
+            return False
+        expires_s = now_s + min(report.remaining_s, self._policy.evidence_s)
+        crash = self._crashes_by_id.get(report.crash_id)
+        if crash is None:
+            crash = self._add(report.crash_id, expires_s)
+        if crash is None:
+            return False
+        fingerprints = crash.fingerprints | report.fingerprints
+        cleared = crash.cleared | report.cleared
+        crash.expires_s = min(crash.expires_s, expires_s)
+        if (fingerprints, cleared) == (crash.fingerprints, crash.cleared):
+            return False
+        crash.fingerprints = fingerprints
+        crash.cleared = cleared
+        for fingerprint in report.fingerprints:
+            crash_ids = self._crash_ids_by_fingerprint[fingerprint]
+            crash_ids.add(report.crash_id)
+        self._note_change(crash)
+        return True
+
+    def clear(self, fingerprint):
+        """Clear a request of all crashes known now."""
+        for crash_id in self._crash_ids_by_fingerprint.get(fingerprint, ()):
+            crash = self._crashes_by_id[crash_id]
+            if fingerprint not in crash.cleared:
+                crash.cleared |= {fingerprint}
+                self._note_change(crash)
+
+    def verdict(self, fingerprint):
+        """Return what the evidence bears on a request."""
+        if fingerprint not in self._crash_ids_by_fingerprint:
+            return Verdict.CLEAR
+        if self._judgement is None:
+            self._judgement = _judge(
+                [crash.suspects for crash in self._crashes_by_id.values()],
+                self._policy.crashes_to_convict,
+            )
+        return self._judgement.get(fingerprint, Verdict.CLEAR)
+
+    def reports_about(self, fingerprint, *, now_s):
+        """Return the crashes that a request was part of."""
+        crash_ids = self._crash_ids_by_fingerprint.get(fingerprint, ())
+        return tuple(
+            self._report(crash_id, now_s) for crash_id in sorted(crash_ids)
+        )
+
+    def next_reports(self, *, count, now_s):
+        """Return the reports that were passed on least often.
+
+        News goes first; later all crashes take turns, so that processes
+        which start or were cut off catch up.
+        """
+        lively = [
+            (crash.times_sent, crash_id)
+            for crash_id, crash in self._crashes_by_id.items()
+            if crash.expires_s - now_s > self._policy.silent_s
+        ]
+        chosen = [crash_id for _, crash_id in sorted(lively)[:count]]
+        for crash_id in chosen:
+            self._crashes_by_id[crash_id].times_sent += 1
+        return tuple(self._report(crash_id, now_s) for crash_id in chosen)
+
+    def forget_expired(self, *, now_s):
+        """Drop the crashes whose time is over."""
+        for crash_id, crash in list(self._crashes_by_id.items()):
+            if crash.expires_s <= now_s:
+                self._drop(crash_id)
+
+    def _add(self, crash_id, expires_s):
+        """Return a new crash; None if it is older than all that fit."""
+        if len(self._crashes_by_id) >= self._policy.crash_limit:
+            known_s, oldest_id = min(
+                (crash.expires_s, known_id)
+                for known_id, crash in self._crashes_by_id.items()
+            )
+            if (expires_s, crash_id) < (known_s, oldest_id):
+                return None
+            self._drop(oldest_id)
+        crash = _Crash(
+            fingerprints=frozenset(), cleared=frozenset(), expires_s=expires_s
+        )
+        self._crashes_by_id[crash_id] = crash
+        return crash
+
+    def _drop(self, crash_id):
+        crash = self._crashes_by_id.pop(crash_id)
+        for fingerprint in crash.fingerprints:
+            crash_ids = self._crash_ids_by_fingerprint[fingerprint]
+            crash_ids.discard(crash_id)
+            if not crash_ids:
+                del self._crash_ids_by_fingerprint[fingerprint]
+        self._judgement = None
+
+    def _note_change(self, crash):
+        crash.times_sent = 0
+        self._judgement = None
+
+    def _report(self, crash_id, now_s):
+        crash = self._crashes_by_id[crash_id]
+        return CrashReport(
+            crash_id=crash_id,
+            fingerprints=crash.fingerprints,
+            cleared=crash.cleared,
+            remaining_s=crash.expires_s - now_s,
+        )
+
+
+def _judge(suspects_by_crash, crashes_to_convict):
+    """Return the verdicts on all suspects.
+
+    A crash speaks against the one request that took part in more crashes
+    than any other of the batch. What a convict explains speaks against
+    nobody else, so it is set aside before judging the rest.
+    """
+    verdicts = {}
+    unexplained = [suspects for suspects in suspects_by_crash if suspects]
+    while True:
+        convicts = _find_convicts(unexplained, crashes_to_convict)
+        if not convicts:
+            break
+        verdicts.update(dict.fromkeys(convicts, Verdict.CONVICTED))
+        unexplained = [
+            suspects for suspects in unexplained if not suspects & convicts
+        ]
+    for suspects in unexplained:
+        for fingerprint in suspects:
+            verdicts.setdefault(fingerprint, Verdict.SUSPECT)
+    return verdicts
+
+
+def _find_convicts(unexplained, crashes_to_convict):
+    crashes = collections.Counter()
+    for suspects in unexplained:
+        crashes.update(suspects)
+    against = collections.Counter()
+    for suspects in unexplained:
+        most = max(crashes[fingerprint] for fingerprint in suspects)
+        likeliest = [f for f in suspects if crashes[f] == most]
+        if len(likeliest) == 1:
+            against[likeliest[0]] += 1
+    return {
+        fingerprint
+        for fingerprint, count in against.items()
+        if count >= crashes_to_convict
+    }
--- /dev/null
+++ b/packages/savoryyoke/tests/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Test the quarantine package."""
