--- a/packages/savoryyoke-edge/savoryyoke_edge/logs.py
+++ b/packages/savoryyoke-edge/savoryyoke_edge/logs.py
@@ -1,8 +1,12 @@
 """Write one line of key=value pairs for each event."""
 
+import datetime
+import logging as standard_logging
 import re
 import sys
+import traceback
 
+from absl import flags
 from absl import logging
 
 _PLAIN_VALUE = re.compile(r'[A-Za-z0-9_.:/@%+,\-\[\]]+')
@@ -17,12 +21,35 @@
 }
 
 
+class LineFormatter(standard_logging.Formatter):
+    """Put time and level before an event, and wrap lines of libraries."""
+
+    def format(self, record):
+        """Return the whole line of a record."""
+        moment = datetime.datetime.fromtimestamp(
+            record.created, tz=datetime.UTC
+        )
+        text = record.getMessage()
+        if record.name != 'absl':
+            fields = {'logger': record.name, 'message': text}
+            text = format_line('library_message', fields)
+        if record.exc_info:
+            trace = ''.join(traceback.format_exception(*record.exc_info))
+            text = f'{text} trace={format_value(trace)}'
+        level = record.levelname.lower()
+        return f'time={moment.isoformat()} level={level} {text}'
+
+
 def set_up(level='info'):
     """Send the lines to standard error, from ``level`` on."""
+    flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
     logging.set_verbosity(LEVELS_BY_NAME[level])
     logging.set_stderrthreshold('debug')
-    logging.get_absl_handler().python_handler.stream = sys.stderr
+    handler = logging.get_absl_handler()
+    handler.python_handler.stream = sys.stderr
+    handler.setFormatter(LineFormatter())
+    standard_logging.getLogger('uvicorn').setLevel(standard_logging.WARNING)
 
 
 def write_event(event, *, level='info', **fields):
--- a/packages/savoryyoke-edge/savoryyoke_edge/problems.py
+++ b/packages/savoryyoke-edge/savoryyoke_edge/problems.py
@@ -88,6 +88,12 @@
             title='The binding of the key has expired.',
             outcome=NOT_RUN,
         ),
+        ProblemType(
+            name='internal-error',
+            status=500,
+            title='The entry failed; the call may have run.',
+            outcome=MAY_HAVE_RUN,
+        ),
         ProblemType(
             name='not-run',
             status=503,
--- /dev/null
+++ b/packages/savoryyoke-entry/savoryyoke_entry/callers.py
@@ -0,0 +1,98 @@
+"""Answer one caller over ASGI."""
+
+import json
+
+import anyio
+
+from savoryyoke_edge import problems
+from savoryyoke_entry import exceptions
+
+DONE = b'data: [DONE]\n\n'
+STREAM_TYPE = 'text/event-stream'
+ERROR_EVENT = b'event: error\ndata: '
+_REPLACED_HEADERS = frozenset({'content-length', 'transfer-encoding'})
+
+
+class Caller:
+    """Own one caller's side of a request.
+
+    ``gone`` is set once the caller has closed its connection.
+    """
+
+    def __init__(self, *, receive, send):
+        self._receive = receive
+        self._send = send
+        self.gone = anyio.Event()
+        self.started = False
+
+    async def watch(self):
+        """Return when the caller has gone."""
+        while True:
+            message = await self._receive()
+            if message['type'] == 'http.disconnect':
+                self.gone.set()
+                return
+
+    async def start(self, status, headers):
+        """Send the status and headers of an answer."""
+        self.started = True
+        await self._send(
+            {
+                'type': 'http.response.start',
+                'status': status,
+                'headers': headers,
+            }
+        )
+
+    async def send_part(self, data, *, last=False):
+        """Send the next bytes; wait while the caller reads slowly."""
+        if self.gone.is_set():
+            raise exceptions.CallerGone
+        await self._send(
+            {
+                'type': 'http.response.body',
+                'body': data,
+                'more_body': not last,
+            }
+        )
+
+    async def send_whole(self, status, headers, body):
+        """Send an answer that is known to be whole."""
+        length = str(len(body)).encode()
+        pairs = [*to_pairs(headers), (b'content-length', length)]
+        await self.start(status, pairs)
+        await self.send_part(body, last=True)
+
+    async def send_problem(self, problem):
+        """Send a refusal; after the answer has begun, break it off aloud."""
+        body = problem.build_body()
+        if self.started:
+            # The body stays without its end, so that no client can take
+            # it for a whole answer.
+            await self.send_part(ERROR_EVENT + body + b'\n\n')
+            return
+        headers = problem.build_headers()
+        headers.append((b'content-length', str(len(body)).encode()))
+        await self.start(problem.kind.status, headers)
+        await self.send_part(body, last=True)
+
+    async def send_json(self, value, status=200):
+        """Send ``value`` as JSON."""
+        headers = [('content-type', 'application/json')]
+        await self.send_whole(status, headers, json.dumps(value).encode())
+
+
+def to_pairs(headers):
+    """Return name and value pairs of text as ASGI headers."""
+    return [
+        (name.lower().encode('latin-1'), value.encode('latin-1'))
+        for name, value in headers
+        if name.lower() not in _REPLACED_HEADERS
+    ]
+
+
+def build_refusal(name, *, reason, retry_after_s=None, **fields):
+    """Return a problem for a call that got no answer."""
+    return problems.Problem(
+        name=name, reason=reason, retry_after_s=retry_after_s, **fields
+    )
--- /dev/null
+++ b/packages/savoryyoke-entry/savoryyoke_entry/daemon.py
@@ -0,0 +1,305 @@
+"""Tie the parts of the entry daemon together."""
+
+import secrets
+import signal
+
+import anyio
+import prometheus_client
+
+from savoryyoke.calls.attempts import carried
+from savoryyoke.calls.attempts import pauses
+from savoryyoke.calls import conf as calls_conf
+from savoryyoke.configuration import routes
+from savoryyoke_edge import admin
+from savoryyoke_edge import configurations
+from savoryyoke_edge import exceptions as edge_exceptions
+from savoryyoke_edge import logs
+from savoryyoke_edge import platform
+from savoryyoke_edge import problems
+from savoryyoke_edge import servers
+from savoryyoke_entry import application
+from savoryyoke_entry import conf
+from savoryyoke_entry import fleet
+from savoryyoke_entry import metrics
+from savoryyoke_entry import requests
+from savoryyoke_wire import conf as wire_conf
+from savoryyoke_wire import messages
+
+INCARNATION_BITS = 64
+
+
+class Daemon:
+    """Serve callers: take requests and get them answered by targets."""
+
+    def __init__(self, *, settings):
+        self._settings = settings
+        self._clock = anyio.current_time
+        self._incarnation = secrets.randbits(INCARNATION_BITS)
+        self._registry = prometheus_client.CollectorRegistry()
+        self._metrics = metrics.EntryMetrics(registry=self._registry)
+        self._reader = platform.PlatformReader(url=settings.platform_url)
+        self._drain_requested = anyio.Event()
+        self._draining = False
+        self._table = None
+        self._teams = {}
+        self._vm_list = None
+        self._application = None
+        self._configuration = None
+        self._pauses = None
+        self._address = ''
+        self.attempt_limits = calls_conf.AttemptLimits()
+        self.carried = carried.CarriedAnswers(limits=self.attempt_limits)
+        self.fleet = None
+
+    @property
+    def ready(self):
+        """Tell whether callers may be sent here."""
+        return (
+            self._table is not None
+            and self._vm_list is not None
+            and not self._draining
+            and self.fleet.links_up > 0
+        )
+
+    def start_drain(self):
+        """Begin the planned stop of this process."""
+        self._drain_requested.set()
+
+    def build_status(self):
+        """Return what operators may see."""
+        applied = self._configuration.applied
+        refused = self._configuration.refused
+        return {
+            'role': 'entry',
+            'vm_id': self._settings.vm_id,
+            'incarnation': f'{self._incarnation:016x}',
+            'data_centre': self._settings.data_centre,
+            'address': self._address,
+            'ready': self.ready,
+            'draining': self._draining,
+            'in_flight': self._application.in_flight,
+            'targets_connected': self.fleet.links_up,
+            'targets_known': self.fleet.links_wanted,
+            'revision': _format_revision(applied),
+            'digest': applied.digest if applied else '',
+            'refused_revision': _format_revision(refused),
+        }
+
+    def observe_pause(self):
+        """Return whether this process may have been paused just now."""
+        return self._pauses.observe(now_s=self._clock())
+
+    def get_tables(self):
+        """Return the route table and the teams, or refuse the request."""
+        if self._table is None:
+            requests.refuse(
+                'cut-off',
+                'no configuration is in force yet',
+                retry_after_s=conf.RETRY_AFTER_S,
+            )
+        return self._table, self._teams
+
+    def count_request(self, service, operation, outcome, duration_s):
+        """Count one ended request."""
+        self._metrics.count(
+            service=service,
+            operation=operation,
+            outcome=outcome,
+            duration_s=duration_s,
+        )
+
+    def build_directory(self, scope):
+        """Return which entries a caller should use, and for how long."""
+        if not self.ready and not self._draining:
+            return problems.Problem(
+                name='cut-off',
+                detail='this entry is not connected; ask another',
+                retry_after_s=conf.RETRY_AFTER_S,
+            )
+        rows = [
+            vm
+            for vm in self._vm_list.vms
+            if vm.role == 'entry' and vm.state == 'live'
+        ]
+        rows.sort(
+            key=lambda vm: (
+                vm.data_centre != self._settings.data_centre,
+                vm.vm_id,
+            )
+        )
+        return {
+            'entries': [
+                {'address': vm.address, 'data_centre': vm.data_centre}
+                for vm in rows
+                if not (self._draining and vm.vm_id == self._settings.vm_id)
+            ],
+            'lifetime_s': conf.DIRECTORY_LIFETIME_S,
+            'bindings': self._build_bindings(),
+        }
+
+    def _build_bindings(self):
+        """Return a binding for each service with non-idempotent calls."""
+        bindings = {}
+        for name in self._keyed_services:
+            binding = self.fleet.bind(name)
+            if binding is not None:
+                bindings[name] = binding
+        return bindings
+
+    async def run(self):
+        """Serve until drained or cancelled."""
+        self._pauses = pauses.PauseMonitor(
+            now_s=self._clock(),
+            threshold_s=self.attempt_limits.pause_threshold_s,
+            doubt_s=self.attempt_limits.pause_doubt_s,
+        )
+        self._application = application.Application(
+            daemon=self,
+            settings=self._settings,
+            clock=self._clock,
+            incarnation=self._incarnation,
+        )
+        async with anyio.create_task_group() as tasks:
+            self.fleet = fleet.Fleet(
+                settings=self._settings,
+                hello=self._build_hello(),
+                tasks=tasks,
+                clock=self._clock,
+            )
+            self._configuration = configurations.ConfigurationWatch(
+                reader=self._reader,
+                site=self._settings.site,
+                clock=self._clock,
+                on_applied=self._apply_configuration,
+            )
+            self._metrics.register_state(
+                application=self._application,
+                fleet=self.fleet,
+                configuration=self._configuration,
+            )
+            await self._serve(tasks)
+            tasks.cancel_scope.cancel()
+
+    async def _serve(self, tasks):
+        listener = servers.bind(self._settings.listen_address)
+        admin_listener = servers.bind(self._settings.admin_address)
+        server = servers.build_server(
+            self._application,
+            header_timeout_s=self._settings.header_timeout_s,
+        )
+        admin_server = servers.build_server(
+            admin.Admin(
+                daemon=self,
+                registry=self._registry,
+                token=self._settings.admin_token,
+            ),
+            header_timeout_s=conf.ADMIN_HEADER_TIMEOUT_S,
+        )
+        self._announce(listener, admin_listener)
+        tasks.start_soon(self._configuration.run)
+        tasks.start_soon(self._watch_vms)
+        tasks.start_soon(self._watch_pauses)
+        tasks.start_soon(self._watch_signals)
+        tasks.start_soon(_serve_http, admin_server, admin_listener)
+        tasks.start_soon(_serve_http, server, listener)
+        await self._drain_requested.wait()
+        await self._drain(server)
+        admin_server.should_exit = True
+
+    def _announce(self, listener, admin_listener):
+        host, port = listener.getsockname()
+        admin_host, admin_port = admin_listener.getsockname()
+        advertised = self._settings.advertised_address
+        self._address = str(advertised) if advertised else f'{host}:{port}'
+        logs.write_event(
+            'entry_started',
+            vm=self._settings.vm_id,
+            incarnation=f'{self._incarnation:016x}',
+            address=f'{host}:{port}',
+            admin_address=f'{admin_host}:{admin_port}',
+        )
+
+    def _build_hello(self):
+        return messages.Hello(
+            version_low=wire_conf.VERSION_LOW,
+            version_high=wire_conf.VERSION_HIGH,
+            process_id=self._settings.vm_id,
+            incarnation=self._incarnation,
+            data_centre=self._settings.data_centre,
+        )
+
+    def _apply_configuration(self, applied):
+        configuration = applied.configuration
+        self._table = routes.RouteTable(configuration=configuration)
+        self._teams = configuration.teams_by_name
+        self._keyed_services = tuple(
+            name
+            for name, service in configuration.services_by_name.items()
+            if _has_keyed_operations(service)
+        )
+        self.fleet.apply_configuration(applied)
+
+    async def _watch_vms(self):
+        while True:
+            try:
+                self._take_vms(await self._reader.read_vms())
+            except edge_exceptions.PlatformUnavailable as error:
+                logs.write_event(
+                    'vm_list_refused', level='warning', reason=str(error)
+                )
+            await anyio.sleep(conf.VM_LIST_PERIOD_S)
+
+    def _take_vms(self, vm_list):
+        known = self._vm_list
+        if known is not None and vm_list.sequence <= known.sequence:
+            return
+        self._vm_list = vm_list
+        logs.write_event(
+            'vm_list_applied', sequence=vm_list.sequence, vms=len(vm_list.vms)
+        )
+        self.fleet.apply_vms(vm_list)
+
+    async def _watch_pauses(self):
+        while True:
+            self.observe_pause()
+            await anyio.sleep(conf.PAUSE_CHECK_S)
+
+    async def _watch_signals(self):
+        with anyio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT
+        ) as signals:
+            async for received in signals:
+                logs.write_event('signal_received', signal=received.name)
+                self.start_drain()
+
+    async def _drain(self, server):
+        """Serve on while callers keep old answers, then finish and return."""
+        self._draining = True
+        logs.write_event('drain_started', vm=self._settings.vm_id)
+        await anyio.sleep(conf.DIRECTORY_LIFETIME_S)
+        with anyio.move_on_after(self._settings.drain_timeout_s):
+            while self._application.in_flight:
+                await anyio.sleep(conf.DRAIN_POLL_S)
+        logs.write_event(
+            'drain_finished',
+            vm=self._settings.vm_id,
+            in_flight=self._application.in_flight,
+        )
+        server.should_exit = True
+
+
+async def _serve_http(server, listener):
+    await server.serve(sockets=[listener])
+
+
+def _has_keyed_operations(service):
+    return any(
+        not operation.idempotent
+        for operation in service.operations_by_name.values()
+    )
+
+
+def _format_revision(decision):
+    if not decision:
+        return ''
+    return f'{decision.revision.base}.{decision.revision.overlay}'
--- /dev/null
+++ b/packages/savoryyoke-entry/savoryyoke_entry/exceptions.py
@@ -0,0 +1,24 @@
+"""Errors of the entry daemon."""
+
+
+class EntryError(Exception):
+    """Describe a fault of the entry daemon; the base of its errors."""
+
+
+class RequestRefused(EntryError):
+    """Report a request that is refused before it is offered to a target.
+
+    ``problem`` is the ``problems.Problem`` for the caller.
+    """
+
+    def __init__(self, *, problem):
+        super().__init__(problem.name)
+        self.problem = problem
+
+
+class CallerGone(EntryError):
+    """Report that the caller closed its connection."""
+
+
+class LinkDown(EntryError):
+    """Report that there is no connection to a target."""
--- /dev/null
+++ b/packages/savoryyoke-entry/savoryyoke_entry/fleet.py
@@ -0,0 +1,294 @@
+"""Know the targets of each service, their links and their state."""
+
+import math
+
+import anyio
+import numpy
+
+from savoryyoke.configuration import schema as configuration_schema
+from savoryyoke.retries import aggregates as retry_aggregates
+from savoryyoke.retries import conf as retry_conf
+from savoryyoke.routing import events as routing_events
+from savoryyoke.routing import router as routing
+from savoryyoke_edge import logs
+from savoryyoke_edge.settings import addresses
+from savoryyoke_entry import exceptions
+from savoryyoke_entry import links
+from savoryyoke_entry import stamps
+from savoryyoke_wire import messages
+
+
+class Service:
+    """Hold the router and the retry budget of one service."""
+
+    def __init__(self, *, name, router, clock, links_by_target_id):
+        self.name = name
+        self.router = router
+        self._clock = clock
+        self._links_by_target_id = links_by_target_id
+        self._retries = None
+
+    def configure(self, policy):
+        """Apply the retry policy of the configuration in force."""
+        self._retries = retry_aggregates.ServiceRetries(
+            policy=retry_conf.RetryPolicy(
+                budget_share=policy.budget_ratio,
+                most_tries=policy.max_attempts,
+            ),
+            now_s=self._clock(),
+        )
+
+    def feed(self, event):
+        """Pass an event to the router and log what it rejects."""
+        for decision in self.router.apply(event, now_s=self._clock()):
+            logs.write_event(
+                'routing_event',
+                level='debug',
+                service=self.name,
+                decision=decision,
+            )
+
+    def feed_retries(self, event):
+        """Pass an event to the retry rules and return their decisions."""
+        return self._retries.apply(event, now_s=self._clock())
+
+    def get_link(self, target_id):
+        """Return the link to a target; raise ``LinkDown`` without one."""
+        link = self._links_by_target_id.get(target_id)
+        if link is None:
+            raise exceptions.LinkDown(target_id)
+        return link
+
+
+class Fleet:
+    """Own the links to the targets and what the entry knows of them."""
+
+    def __init__(self, *, settings, hello, tasks, clock):
+        self._settings = settings
+        self._hello = hello
+        self._tasks = tasks
+        self._clock = clock
+        self._generator = numpy.random.default_rng(settings.seed)
+        self._links_by_target_id = {}
+        self._scopes_by_target_id = {}
+        self._rows_by_target_id = {}
+        self._generations_by_target_id = {}
+        self._services_by_name = {}
+        self.stamps = stamps.StampBook()
+
+    @property
+    def services(self):
+        """Return the services by name."""
+        return self._services_by_name
+
+    @property
+    def links_up(self):
+        """Return how many targets are connected."""
+        return sum(
+            link.peer is not None for link in self._links_by_target_id.values()
+        )
+
+    @property
+    def links_wanted(self):
+        """Return how many targets should be connected."""
+        return len(self._links_by_target_id)
+
+    def get_link(self, target_id):
+        """Return the link to a target; raise ``LinkDown`` without one."""
+        link = self._links_by_target_id.get(target_id)
+        if link is None:
+            raise exceptions.LinkDown(target_id)
+        return link
+
+    def bind(self, service_name):
+        """Return the text of a binding for new keys, or None."""
+        service = self._services_by_name.get(service_name)
+        if service is None:
+            return None
+        for offer in service.router.bindings(self._clock()):
+            link = self._links_by_target_id.get(offer.target_id)
+            if link is None or link.peer is None:
+                continue
+            binding = self.stamps.bind(
+                service=service_name,
+                target_id=offer.target_id,
+                incarnation=link.peer.incarnation,
+            )
+            if binding is not None:
+                return binding.format()
+        return None
+
+    def apply_configuration(self, applied):
+        """Follow the configuration in force."""
+        configuration = applied.configuration
+        for name, declared in configuration.services_by_name.items():
+            self._ensure_service(name).configure(declared.retry)
+        out = frozenset(
+            name
+            for name, data_centre in configuration.data_centres_by_name.items()
+            if data_centre.state is configuration_schema.DataCentreState.OUT
+        )
+        event = routing_events.ConfigurationApplied(
+            revision=applied.revision.base + applied.revision.overlay,
+            data_centres_out=out,
+        )
+        for service in self._services_by_name.values():
+            service.feed(event)
+        for row in self._rows_by_target_id.values():
+            self._ensure_link(row)
+
+    def apply_vms(self, vm_list):
+        """Follow the platform's list of VMs."""
+        rows = {vm.vm_id: vm for vm in vm_list.vms if vm.role == 'target'}
+        for target_id, row in rows.items():
+            known = self._rows_by_target_id.get(target_id)
+            if known is not None and known.address != row.address:
+                self._drop_link(target_id)
+            self._rows_by_target_id[target_id] = row
+            self._ensure_link(row)
+            if row.state == 'leaving':
+                self._report_leaving(target_id)
+        for target_id in set(self._rows_by_target_id) - set(rows):
+            del self._rows_by_target_id[target_id]
+            self._drop_link(target_id)
+
+    def _ensure_service(self, name):
+        service = self._services_by_name.get(name)
+        if service is None:
+            router = routing.Router(
+                service=name,
+                entry_id=self._settings.vm_id,
+                data_centre=self._settings.data_centre,
+                generator=self._generator,
+            )
+            service = Service(
+                name=name,
+                router=router,
+                clock=self._clock,
+                links_by_target_id=self._links_by_target_id,
+            )
+            self._services_by_name[name] = service
+        return service
+
+    def _ensure_link(self, row):
+        if row.service not in self._services_by_name:
+            return
+        if row.vm_id in self._links_by_target_id:
+            return
+        link = links.Link(
+            target_id=row.vm_id,
+            address=addresses.parse_peer_address(row.address),
+            hello=self._hello,
+            timeout_s=self._settings.connect_timeout_s,
+            owner=self,
+        )
+        self._links_by_target_id[row.vm_id] = link
+        scope = anyio.CancelScope()
+        self._scopes_by_target_id[row.vm_id] = scope
+        self._tasks.start_soon(_run_in_scope, link, scope)
+
+    def _drop_link(self, target_id):
+        self._links_by_target_id.pop(target_id, None)
+        scope = self._scopes_by_target_id.pop(target_id, None)
+        if scope is not None:
+            scope.cancel()
+        self._feed_target(target_id, routing_events.TargetGone)
+
+    def on_up(self, link):
+        """Tell the router that a target is connected."""
+        row = self._rows_by_target_id.get(link.target_id)
+        if row is None:
+            return
+        generation = self._count_generation(link)
+        service = self._services_by_name[row.service]
+        service.feed(
+            routing_events.TargetSeen(
+                target_id=link.target_id,
+                incarnation=generation,
+                data_centre=link.peer.data_centre,
+                address=row.address,
+            )
+        )
+        service.feed(routing_events.TargetReachable(target_id=link.target_id))
+        service.router.plan_connections()
+
+    def _count_generation(self, link):
+        """Return a number that grows with each incarnation of a target.
+
+        Incarnations are random; the router needs to know which is newer,
+        and a connection made later reaches the newer one.
+        """
+        known = self._generations_by_target_id.get(link.target_id)
+        if known is None:
+            known = (0, None)
+        generation, incarnation = known
+        if incarnation != link.peer.incarnation:
+            generation += 1
+        self._generations_by_target_id[link.target_id] = (
+            generation,
+            link.peer.incarnation,
+        )
+        return generation
+
+    def on_down(self, link):
+        """Tell the router that a target is not connected."""
+        row = self._rows_by_target_id.get(link.target_id)
+        if row is None:
+            return
+        self._services_by_name[row.service].feed(
+            routing_events.TargetUnreachable(target_id=link.target_id)
+        )
+
+    def on_message(self, link, message):
+        """Take a target's message that belongs to no call."""
+        match message:
+            case messages.Load():
+                self._take_load(link, message)
+            case messages.HeirNamed():
+                self.stamps.take(message.stamps)
+
+    def _take_load(self, link, load):
+        self.stamps.take(load.stamps)
+        row = self._rows_by_target_id.get(link.target_id)
+        if row is None:
+            return
+        generation, _ = self._generations_by_target_id[link.target_id]
+        service = self._services_by_name[row.service]
+        service.feed(
+            routing_events.LoadReported(
+                target_id=link.target_id,
+                incarnation=generation,
+                stamp_s=load.sent_ms / 1000,
+                running=load.running,
+                queued=load.queued,
+                limit=load.limit,
+                estimated_wait_s=load.wait_ms / 1000,
+                cold=load.cold,
+                kv_free_ratio=_bound_ratio(load.kv_free),
+            )
+        )
+        if load.draining:
+            self._report_leaving(link.target_id)
+
+    def _report_leaving(self, target_id):
+        self._feed_target(target_id, routing_events.TargetLeaving)
+
+    def _feed_target(self, target_id, event_class):
+        known = self._generations_by_target_id.get(target_id)
+        if known is None:
+            return
+        for service in self._services_by_name.values():
+            service.feed(
+                event_class(target_id=target_id, incarnation=known[0])
+            )
+
+
+async def _run_in_scope(link, scope):
+    with scope:
+        await link.run()
+
+
+def _bound_ratio(value):
+    if not math.isfinite(value):
+        return 0.0
+    return min(1.0, max(0.0, value))
--- /dev/null
+++ b/packages/savoryyoke-entry/savoryyoke_entry/keyed.py
@@ -0,0 +1,313 @@
+"""Carry one attempt of a non-idempotent request to its bound target."""
+
+import functools
+
+import anyio
+
+from savoryyoke.calls.attempts import decisions as attempt_decisions
+from savoryyoke.calls.attempts import events as attempt_events
+from savoryyoke.calls.attempts import machine
+from savoryyoke.calls import exceptions as calls_exceptions
+from savoryyoke.calls import keys
+from savoryyoke.calls.ledger import events as ledger_events
+from savoryyoke.calls.ledger import snapshots
+from savoryyoke.calls import outcomes
+from savoryyoke_edge import logs
+from savoryyoke_edge import problems
+from savoryyoke_entry import conf
+from savoryyoke_entry import exceptions
+from savoryyoke_wire import messages
+
+
+class KeyedRelay:
+    """Own one attempt of a non-idempotent request.
+
+    ``fleet`` knows the links and stamps, ``carried`` the answers that this
+    entry has passed on before.
+    """
+
+    def __init__(
+        self,
+        *,
+        request,
+        caller,
+        fleet,
+        carried,
+        limits,
+        clock,
+        attempt_id,
+        doubtful,
+    ):
+        self._request = request
+        self._caller = caller
+        self._fleet = fleet
+        self._carried = carried
+        self._limits = limits
+        self._clock = clock
+        self._attempt_id = attempt_id
+        self._doubtful = doubtful
+        self._attempt = None
+        self._tasks = None
+        self._outcome = None
+        self._changed = anyio.Event()
+
+    async def run(self):
+        """Answer the caller; return the name of the outcome."""
+        try:
+            key = keys.parse(self._request.key)
+        except calls_exceptions.InvalidKey as error:
+            return await self._refuse_unbound(str(error))
+        self._attempt = self._build_attempt(key)
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            tasks.start_soon(self._watch_caller)
+            self._feed(attempt_events.Started())
+            await self._wait()
+            tasks.cancel_scope.cancel()
+        if self._outcome is None:
+            return 'caller-gone'
+        return await send_outcome(self._outcome, self._caller)
+
+    def _build_attempt(self, key):
+        stamp = self._fleet.stamps.get(key.incarnation)
+        target_id = stamp.target_id if stamp else key.target_id
+        logs.write_event(
+            'target_bound',
+            call=self._attempt_id,
+            service=self._request.route.service_name,
+            team=self._request.team_name,
+            target=target_id,
+            reason='heir' if target_id != key.target_id else 'key',
+            doubtful=self._doubtful,
+        )
+        return machine.Attempt(
+            attempt_id=self._attempt_id,
+            key=key,
+            fingerprint=self._request.fingerprint,
+            target_id=target_id,
+            stamp_ms=stamp.stamp_ms if stamp else 0,
+            deadline_s=self._request.deadline_s,
+            is_doubtful=self._doubtful,
+            carried=self._carried,
+            limits=self._limits,
+        )
+
+    async def _refuse_unbound(self, detail):
+        binding = self._fleet.bind(self._request.route.service_name)
+        await self._caller.send_problem(
+            problems.Problem(
+                name='binding-required',
+                detail=detail,
+                retry_after_s=0.0,
+                same_key_may_return=False,
+                binding=binding or '',
+            )
+        )
+        return 'unbound'
+
+    async def _watch_caller(self):
+        await self._caller.gone.wait()
+        self._feed(attempt_events.CallerLeft())
+        self._changed.set()
+
+    async def _wait(self):
+        while True:
+            wakes_s = self._attempt.wakes_s
+            if wakes_s is None or self._outcome is not None:
+                return
+            with anyio.move_on_at(wakes_s):
+                await self._changed.wait()
+            self._changed = anyio.Event()
+            self._feed(attempt_events.Ticked())
+
+    def _feed(self, event):
+        for decision in self._attempt.apply(event, now_s=self._clock()):
+            self._carry_out(decision)
+
+    @functools.singledispatchmethod
+    def _carry_out(self, decision):
+        raise exceptions.EntryError(f'unknown decision {decision}')
+
+    @_carry_out.register
+    def _(self, decision: attempt_decisions.Deliver):
+        self._outcome = decision.outcome
+        self._changed.set()
+
+    @_carry_out.register
+    def _(self, decision: attempt_decisions.Send):
+        number = decision.message.number
+        try:
+            link = self._fleet.get_link(decision.target_id)
+            channel = link.open_channel()
+            link.send(self._build_call(channel, decision.message))
+        except exceptions.LinkDown:
+            # The machine may go on with an heir, so this runs after it.
+            self._tasks.start_soon(self._report_unreachable, number)
+            return
+        self._tasks.start_soon(self._receive, channel, number)
+
+    async def _report_unreachable(self, number):
+        self._feed(
+            attempt_events.TargetUnreachable(
+                number=number, heir=self._find_heir()
+            )
+        )
+        self._changed.set()
+
+    def _find_heir(self):
+        stamp = self._fleet.stamps.get(self._attempt.key.incarnation)
+        if stamp is None:
+            return None
+        return snapshots.Heir(
+            target_id=stamp.target_id, incarnation=stamp.incarnation
+        )
+
+    async def _receive(self, channel, number):
+        head = None
+        parts = []
+        try:
+            while True:
+                message = await channel.get()
+                match message:
+                    case messages.Head():
+                        head = message
+                    case messages.Chunk():
+                        parts.append(message.data)
+                    case messages.End():
+                        answer = _build_answer(head, parts)
+                        self._take_outcome(number, answer)
+                        return
+                    case messages.Refusal():
+                        self._take_outcome(number, read_refusal(message))
+                        return
+                    case messages.Redirect():
+                        self._follow(number, message)
+                        return
+                    case _:
+                        await self._report_unreachable(number)
+                        return
+        finally:
+            channel.close(cancel=False)
+
+    def _take_outcome(self, number, outcome):
+        self._feed(
+            attempt_events.OutcomeReceived(number=number, outcome=outcome)
+        )
+        self._changed.set()
+
+    def _follow(self, number, redirect):
+        heir = snapshots.Heir(
+            target_id=redirect.heir_target_id,
+            incarnation=redirect.heir_incarnation,
+        )
+        self._feed(attempt_events.Redirected(number=number, heir=heir))
+        self._changed.set()
+
+    def _build_call(self, channel, message):
+        request = self._request
+        sealing = isinstance(message, ledger_events.SealRequested)
+        remaining_s = request.deadline_s - self._clock()
+        return messages.Call(
+            call_id=channel.call_id,
+            service=request.route.service_name,
+            operation=request.route.operation_name,
+            team=request.team_name,
+            team_weight=request.team_weight,
+            priority=request.priority,
+            remaining_ms=max(1, int(remaining_s * 1000)),
+            idempotent=False,
+            method=request.method,
+            path=request.path,
+            headers=() if sealing else request.headers,
+            body=b'' if sealing else request.body,
+            key=message.key.format(),
+            fingerprint=message.fingerprint,
+            stamp_ms=0 if sealing else max(0, message.stamp_ms),
+            cost=request.cost,
+            seal_only=sealing,
+            attempt=message.attempt_id,
+            number=message.number,
+        )
+
+
+def _build_answer(head, parts):
+    headers = tuple((item.name, item.value) for item in head.headers)
+    return outcomes.Ran(
+        answer=outcomes.Answer(
+            status=head.status, headers=headers, body=b''.join(parts)
+        )
+    )
+
+
+def read_refusal(refusal):
+    """Return the outcome that a target's refusal states."""
+    match refusal.outcome:
+        case messages.Outcome.NOT_RUN:
+            return outcomes.NotRun(
+                reason=outcomes.NotRunReason(refusal.reason),
+                retry_after_s=refusal.retry_after_ms / 1000,
+                same_key_may_return=refusal.same_key_may_return,
+                holds_for_s=refusal.holds_for_ms / 1000,
+            )
+        case messages.Outcome.KEY_REUSED:
+            return outcomes.Rejected(
+                reason=outcomes.RejectionReason(refusal.reason)
+            )
+        case messages.Outcome.RAN_ANSWER_GONE:
+            return outcomes.RanWithoutAnswer(status=refusal.status)
+    return outcomes.MayHaveRun(
+        reason=outcomes.MayHaveRunReason(refusal.reason)
+    )
+
+
+@functools.singledispatch
+async def send_outcome(outcome, caller):
+    """Answer the caller with an attempt's outcome; return its name."""
+    raise exceptions.EntryError(f'unknown outcome {outcome}')
+
+
+@send_outcome.register
+async def _(outcome: outcomes.Ran, caller):
+    answer = outcome.answer
+    await caller.send_whole(answer.status, answer.headers, answer.body)
+    return 'ran'
+
+
+@send_outcome.register
+async def _(outcome: outcomes.RanWithoutAnswer, caller):
+    await caller.send_problem(
+        problems.Problem(name='answer-gone', reason=f'status-{outcome.status}')
+    )
+    return 'answer-gone'
+
+
+@send_outcome.register
+async def _(outcome: outcomes.NotRun, caller):
+    name = 'not-run'
+    if outcome.reason is outcomes.NotRunReason.WINDOW_CLOSED:
+        name = 'key-expired'
+    await caller.send_problem(
+        problems.Problem(
+            name=name,
+            reason=outcome.reason.value,
+            retry_after_s=max(outcome.retry_after_s, conf.RETRY_AFTER_S),
+            same_key_may_return=outcome.same_key_may_return,
+        )
+    )
+    return 'not-run'
+
+
+@send_outcome.register
+async def _(outcome: outcomes.MayHaveRun, caller):
+    await caller.send_problem(
+        problems.Problem(name='may-have-run', reason=outcome.reason.value)
+    )
+    return 'may-have-run'
+
+
+@send_outcome.register
+async def _(outcome: outcomes.Rejected, caller):
+    await caller.send_problem(
+        problems.Problem(name='key-reused', reason=outcome.reason.value)
+    )
+    return 'rejected'
--- /dev/null
+++ b/packages/savoryyoke-entry/savoryyoke_entry/links.py
@@ -0,0 +1,137 @@
+"""Hold one connection to each target process and the calls on it."""
+
+import itertools
+import math
+
+import anyio
+
+from savoryyoke_edge import connections
+from savoryyoke_edge import exceptions as edge_exceptions
+from savoryyoke_edge import logs
+from savoryyoke_entry import conf
+from savoryyoke_entry import exceptions
+from savoryyoke_wire import messages
+
+
+class Channel:
+    """Receive the messages of one call; ``None`` says the link broke."""
+
+    def __init__(self, *, link, call_id):
+        self._link = link
+        self.call_id = call_id
+        self._send, self._receive = anyio.create_memory_object_stream(math.inf)
+
+    def put(self, message):
+        """Take a message of the target."""
+        self._send.send_nowait(message)
+
+    async def get(self):
+        """Return the next message of the target, or None at the end."""
+        return await self._receive.receive()
+
+    def grant(self, size_bytes):
+        """Let the target send ``size_bytes`` more."""
+        self._link.send_quietly(
+            messages.Credit(call_id=self.call_id, bytes=size_bytes)
+        )
+
+    def close(self, *, cancel):
+        """Forget the call; ``cancel`` asks the target to stop it."""
+        self._link.forget(self.call_id)
+        if cancel:
+            self._link.send_quietly(messages.Cancel(call_id=self.call_id))
+
+
+class Link:
+    """Own the connection to one target process.
+
+    The owner is told of its state through ``on_up(link)``, ``on_down(link)``
+    and ``on_message(link, message)``.
+    """
+
+    def __init__(self, *, target_id, address, hello, timeout_s, owner):
+        self.target_id = target_id
+        self.address = address
+        self._hello = hello
+        self._timeout_s = timeout_s
+        self._owner = owner
+        self._connection = None
+        self._numbers = itertools.count(1)
+        self._channels_by_call_id = {}
+
+    @property
+    def peer(self):
+        """Return the target's greeting, or None while the link is down."""
+        return self._connection.peer if self._connection else None
+
+    def open_channel(self):
+        """Return the channel for a new call; raise ``LinkDown``."""
+        if self._connection is None or self._connection.closed:
+            raise exceptions.LinkDown(self.target_id)
+        channel = Channel(link=self, call_id=next(self._numbers))
+        self._channels_by_call_id[channel.call_id] = channel
+        return channel
+
+    def send(self, message):
+        """Send ``message`` or raise ``LinkDown``."""
+        if self._connection is None:
+            raise exceptions.LinkDown(self.target_id)
+        try:
+            self._connection.send(message)
+        except edge_exceptions.ConnectionLost as error:
+            raise exceptions.LinkDown(self.target_id) from error
+
+    def send_quietly(self, message):
+        """Send ``message`` if the link is up."""
+        try:
+            self.send(message)
+        except exceptions.LinkDown:
+            return
+
+    def forget(self, call_id):
+        """Drop the channel of a call."""
+        self._channels_by_call_id.pop(call_id, None)
+
+    async def run(self):
+        """Keep the link up until cancelled."""
+        delay_s = conf.LINK_RETRY_FIRST_S
+        while True:
+            try:
+                connection, early = await connections.connect(
+                    address=self.address,
+                    hello=self._hello,
+                    timeout_s=self._timeout_s,
+                )
+            except edge_exceptions.ConnectionLost:
+                await anyio.sleep(delay_s)
+                delay_s = min(delay_s * 2, conf.LINK_RETRY_LIMIT_S)
+                continue
+            delay_s = conf.LINK_RETRY_FIRST_S
+            await self._serve(connection, early)
+
+    async def _serve(self, connection, early):
+        self._connection = connection
+        logs.write_event(
+            'link_up',
+            target=self.target_id,
+            incarnation=f'{connection.peer.incarnation:016x}',
+        )
+        self._owner.on_up(self)
+        try:
+            await connection.run(self._take, early)
+        finally:
+            self._connection = None
+            logs.write_event('link_down', target=self.target_id)
+            self._owner.on_down(self)
+            for channel in list(self._channels_by_call_id.values()):
+                channel.put(None)
+            self._channels_by_call_id.clear()
+
+    def _take(self, message):
+        call_id = getattr(message, 'call_id', None)
+        if call_id is None:
+            self._owner.on_message(self, message)
+            return
+        channel = self._channels_by_call_id.get(call_id)
+        if channel is not None:
+            channel.put(message)
--- /dev/null
+++ b/packages/savoryyoke-entry/savoryyoke_entry/requests.py
@@ -0,0 +1,199 @@
+"""Turn a caller's HTTP request into a checked one, or refuse it."""
+
+import dataclasses
+import json
+
+import anyio
+import xxhash
+
+from savoryyoke.configuration import routes
+from savoryyoke_edge import problems
+from savoryyoke_entry import conf
+from savoryyoke_entry import exceptions
+from savoryyoke_wire import messages
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Request:
+    """Hold one checked request of a caller.
+
+    ``arrived_s`` and ``deadline_s`` are monotonic times.
+    """
+
+    route: routes.Route
+    team_name: str
+    team_weight: float
+    priority: int
+    method: str
+    path: str
+    headers: tuple[messages.Header, ...]
+    body: bytes
+    key: str
+    fingerprint: bytes
+    arrived_s: float
+    deadline_s: float
+    streamed: bool
+    cost: float
+    prefix_digests: tuple[bytes, ...]
+
+    @property
+    def idempotent(self):
+        """Tell whether the operation may be repeated."""
+        return self.route.operation.idempotent
+
+
+def refuse(name, detail='', **fields):
+    """Raise ``RequestRefused`` with the problem ``name``."""
+    raise exceptions.RequestRefused(
+        problem=problems.Problem(name=name, detail=detail, **fields)
+    )
+
+
+async def read_request(scope, receive, *, table, teams, limit_bytes, now_s):
+    """Return the checked ``Request`` of an ASGI scope.
+
+    ``table`` is a ``routes.RouteTable`` and ``teams`` the teams by name.
+    Raise ``RequestRefused`` or ``CallerGone``.
+    """
+    headers_by_name = _read_headers(scope)
+    route = table.find(method=scope['method'], path=scope['path'])
+    if isinstance(route, routes.NoRoute):
+        refuse('unknown-operation', 'no operation has this method and path')
+    team_name = headers_by_name.get(conf.TEAM_HEADER, '')
+    team = teams.get(team_name)
+    if team is None:
+        refuse('unknown-team', f'set the header {conf.TEAM_HEADER}')
+    timeout_s = _read_timeout(headers_by_name, route.operation.timeout_s)
+    body = await read_body(receive, limit_bytes=limit_bytes)
+    document = _parse_document(body) if route.operation.idempotent else {}
+    path = _build_path(scope)
+    return Request(
+        route=route,
+        team_name=team_name,
+        team_weight=team.weight,
+        priority=min(route.operation.priority, team.priority_ceiling),
+        method=scope['method'],
+        path=path,
+        headers=_select_headers(scope),
+        body=body,
+        key=headers_by_name.get(conf.KEY_HEADER, ''),
+        fingerprint=_compute_fingerprint(
+            team_name, route.service_name, scope['method'], path, body
+        ),
+        arrived_s=now_s,
+        deadline_s=now_s + timeout_s,
+        streamed=document.get('stream') is True,
+        cost=_estimate_cost(document),
+        prefix_digests=_compute_digests(document),
+    )
+
+
+async def read_body(receive, *, limit_bytes):
+    """Return the whole body or refuse one that is too large or too slow."""
+    body = bytearray()
+    try:
+        with anyio.fail_after(conf.BODY_TIMEOUT_S):
+            while True:
+                message = await receive()
+                if message['type'] == 'http.disconnect':
+                    raise exceptions.CallerGone
+                body += message.get('body', b'')
+                if len(body) > limit_bytes:
+                    refuse('body-too-large', f'limit: {limit_bytes} bytes')
+                if not message.get('more_body'):
+                    return bytes(body)
+    except TimeoutError:
+        refuse('request-timeout', 'the body did not arrive in time')
+
+
+def _read_headers(scope):
+    if len(scope['headers']) > conf.HEADERS_LIMIT:
+        refuse('malformed-request', f'over {conf.HEADERS_LIMIT} headers')
+    headers_by_name = {}
+    for name, value in scope['headers']:
+        if len(value) > conf.HEADER_LIMIT_CHARACTERS:
+            refuse('malformed-request', 'a header is too long')
+        text = name.decode('latin-1')
+        if text == conf.KEY_HEADER and text in headers_by_name:
+            refuse('malformed-request', 'two idempotency keys')
+        headers_by_name[text] = value.decode('latin-1')
+    return headers_by_name
+
+
+def _select_headers(scope):
+    own = {conf.TIMEOUT_HEADER, 'connection', 'content-length', 'host'}
+    pairs = (
+        (name.decode('latin-1'), value.decode('latin-1'))
+        for name, value in scope['headers']
+    )
+    return tuple(
+        messages.Header(name=name, value=value)
+        for name, value in pairs
+        if name not in own
+    )
+
+
+def _read_timeout(headers_by_name, longest_s):
+    text = headers_by_name.get(conf.TIMEOUT_HEADER)
+    if text is None:
+        return longest_s
+    try:
+        timeout_s = float(text)
+    except ValueError:
+        timeout_s = -1.0
+    if not 0 < timeout_s < float('inf'):
+        refuse('malformed-request', f'{conf.TIMEOUT_HEADER} is not a time')
+    return min(timeout_s, longest_s)
+
+
+def _build_path(scope):
+    path = scope['raw_path'].decode('latin-1')
+    query = scope['query_string'].decode('latin-1')
+    if query:
+        path = f'{path}?{query}'
+    if len(path) > conf.PATH_LIMIT_CHARACTERS:
+        refuse('malformed-request', 'the path is too long')
+    return path
+
+
+def _parse_document(body):
+    """Return a JSON body's object; anything else has nothing to route by."""
+    if not body.startswith(b'{'):
+        return {}
+    try:
+        document = json.loads(body)
+    except (ValueError, RecursionError):
+        return {}
+    return document if isinstance(document, dict) else {}
+
+
+def _estimate_cost(document):
+    count = document.get('max_tokens')
+    if isinstance(count, int) and count > 0:
+        return float(count)
+    return 1.0
+
+
+def _compute_digests(document):
+    """Return digests of ever longer prefixes of the prompt."""
+    prompt = document.get('prompt') or document.get('messages')
+    if not prompt:
+        return ()
+    text = prompt if isinstance(prompt, str) else json.dumps(prompt)
+    running = xxhash.xxh3_64()
+    digests = []
+    longest = conf.PREFIX_BLOCK_CHARACTERS * conf.PREFIX_BLOCKS_LIMIT
+    stop = min(len(text), longest) - conf.PREFIX_BLOCK_CHARACTERS + 1
+    for start in range(0, stop, conf.PREFIX_BLOCK_CHARACTERS):
+        block = text[start : start + conf.PREFIX_BLOCK_CHARACTERS]
+        running.update(block.encode('utf-8', 'surrogatepass'))
+        digests.append(running.digest())
+    return tuple(digests)
+
+
+def _compute_fingerprint(team, service, method, path, body):
+    running = xxhash.xxh3_128()
+    for part in (team, service, method, path):
+        running.update(part.encode('utf-8', 'surrogatepass') + b'\0')
+    running.update(body)
+    return running.digest()
--- /dev/null
+++ b/packages/savoryyoke-fakes/savoryyoke_fakes/fleets.py
@@ -0,0 +1,323 @@
+"""Run a whole fleet of real processes against stand-ins."""
+
+import dataclasses
+import pathlib
+import tempfile
+import time
+
+from savoryyoke_fakes import clients
+from savoryyoke_fakes import processes
+
+READY_TIMEOUT_S = 20.0
+POLL_S = 0.05
+
+LANGUAGE = 'language'
+ACCOUNT = 'account'
+
+BASE_TEXT = """\
+schema_version: 1
+data_centres:
+  dc-a: {region: north}
+  dc-b: {region: north}
+  dc-c: {region: north}
+services:
+  language:
+    kind: model_group
+    replicas: 3
+    ranks_per_group: 4
+    experts_per_layer: 8
+    expert_layers: 2
+    models:
+      drafts: {versions: ["1"], default_version: "1"}
+    operations:
+      complete:
+        method: POST
+        path: /v1/completions
+        idempotent: true
+        timeout_s: 20.0
+    warm_up: {initial_concurrency: 4}
+    admission: {max_concurrency: 32, queue_limit: 64}
+  account:
+    kind: application
+    replicas: 2
+    operations:
+      pay:
+        method: POST
+        path: /v1/payments
+        idempotent: false
+        timeout_s: 10.0
+        priority: 3
+      balance:
+        method: GET
+        path: /v1/balance
+        idempotent: true
+        timeout_s: 5.0
+    warm_up: {initial_concurrency: 4}
+    admission: {max_concurrency: 32, queue_limit: 64}
+teams:
+  letters: {weight: 1.0}
+  members: {weight: 2.0}
+"""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class TargetPlace:
+    """Name a target VM and what stands on it."""
+
+    vm_id: str
+    data_centre: str
+    service: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class EntryPlace:
+    """Name an entry VM."""
+
+    vm_id: str
+    data_centre: str
+
+
+ENTRIES = tuple(
+    EntryPlace(vm_id=f'entry-{letter}', data_centre=f'dc-{letter}')
+    for letter in 'abc'
+)
+TARGETS = (
+    *(
+        TargetPlace(
+            vm_id=f'engine-{letter}',
+            data_centre=f'dc-{letter}',
+            service=LANGUAGE,
+        )
+        for letter in 'abc'
+    ),
+    *(
+        TargetPlace(
+            vm_id=f'app-{letter}', data_centre=f'dc-{letter}', service=ACCOUNT
+        )
+        for letter in 'ab'
+    ),
+)
+
+
+class Fleet:
+    """Own the processes of a fleet; use it as a context manager."""
+
+    def __init__(
+        self,
+        *,
+        entries=ENTRIES,
+        targets=TARGETS,
+        base_text=BASE_TEXT,
+        report=None,
+    ):
+        self._entries_by_id = {place.vm_id: place for place in entries}
+        self._targets_by_id = {place.vm_id: place for place in targets}
+        self._base_text = base_text
+        self._report = report or (lambda text: None)
+        self._directory = tempfile.TemporaryDirectory()
+        self.processes_by_name = {}
+        self.addresses_by_name = {}
+        self.admin_addresses_by_name = {}
+        self._leaving = set()
+
+    def __enter__(self):
+        try:
+            self._start_all()
+        except BaseException:
+            self.close()
+            raise
+        return self
+
+    def __exit__(self, kind, error, trace):
+        self.close()
+
+    def close(self):
+        """End all processes and drop their logs."""
+        for process in self.processes_by_name.values():
+            process.kill()
+        self._directory.cleanup()
+
+    @property
+    def entry_addresses(self):
+        """Return the addresses of the entries that run."""
+        return [
+            self.addresses_by_name[vm_id]
+            for vm_id in self._entries_by_id
+            if self.processes_by_name[vm_id].running
+        ]
+
+    def _start_all(self):
+        self._report('starting the platform stand-in')
+        self.start_stand_in('platform', 'platform')
+        self.publish('base', self._base_text)
+        for place in self._targets_by_id.values():
+            self.start_backend(place.vm_id)
+        for vm_id in self._targets_by_id:
+            self.start_target(vm_id)
+        for vm_id in self._entries_by_id:
+            self.start_entry(vm_id)
+        self.publish_vms()
+        self.wait_until_ready()
+
+    def start_stand_in(self, name, module, *flags):
+        """Start a stand-in; a restarted one keeps its address."""
+        address = self.addresses_by_name.get(name, '127.0.0.1:0')
+        process = self._start(
+            name,
+            f'savoryyoke_fakes.{module}',
+            f'--listen_address={address}',
+            *flags,
+        )
+        fields = process.wait_for_event('ready')
+        self.addresses_by_name[name] = fields['address']
+
+    def start_backend(self, vm_id):
+        """Start the engine or application of a target VM."""
+        place = self._targets_by_id[vm_id]
+        module = 'engine' if place.service == LANGUAGE else 'application'
+        self._report(f'starting the {module} stand-in on {vm_id}')
+        self.start_stand_in(f'{vm_id}.backend', module)
+
+    def start_target(self, vm_id):
+        """Start the target process of a target VM."""
+        place = self._targets_by_id[vm_id]
+        kind = 'engine' if place.service == LANGUAGE else 'application'
+        backend = self.addresses_by_name[f'{vm_id}.backend']
+        self._report(f'starting the target process on {vm_id}')
+        process = self._start(
+            vm_id,
+            'savoryyoke_target',
+            'run',
+            f'--target-id={vm_id}',
+            f'--service={place.service}',
+            f'--backend-url=http://{backend}',
+            f'--backend-kind={kind}',
+            *self._build_flags(vm_id, place.data_centre),
+        )
+        self._note(vm_id, process.wait_for_event('target_started'))
+
+    def start_entry(self, vm_id):
+        """Start the entry daemon of an entry VM."""
+        place = self._entries_by_id[vm_id]
+        self._report(f'starting the entry daemon on {vm_id}')
+        process = self._start(
+            vm_id,
+            'savoryyoke_entry',
+            'run',
+            *self._build_flags(vm_id, place.data_centre),
+        )
+        self._note(vm_id, process.wait_for_event('entry_started'))
+
+    def _build_flags(self, vm_id, data_centre):
+        address = self.addresses_by_name.get(vm_id, '127.0.0.1:0')
+        platform = self.addresses_by_name['platform']
+        return (
+            f'--vm-id={vm_id}',
+            f'--data-centre={data_centre}',
+            '--site=demo',
+            f'--listen-address={address}',
+            f'--platform-url=http://{platform}',
+        )
+
+    def _start(self, name, module, *flags):
+        process = processes.Process(
+            name=name,
+            arguments=['-m', module, *flags],
+            log_path=pathlib.Path(self._directory.name, f'{name}.log'),
+        )
+        self.processes_by_name[name] = process
+        return process.start()
+
+    def _note(self, name, fields):
+        self.addresses_by_name[name] = fields['address']
+        self.admin_addresses_by_name[name] = fields['admin_address']
+
+    def publish(self, name, text):
+        """Publish a value through the platform stand-in."""
+        self._control('publish', {'name': name, 'text': text})
+
+    def set_platform_down(self, down):
+        """Switch the platform's service off or on."""
+        self._control('faults', {'down': down})
+
+    def publish_vms(self):
+        """Publish the list of VMs as it stands now."""
+        rows = [
+            self._build_row(place, 'target', place.service)
+            for place in self._targets_by_id.values()
+        ]
+        rows += [
+            self._build_row(place, 'entry', '')
+            for place in self._entries_by_id.values()
+        ]
+        self._control('vms', {'vms': rows})
+
+    def mark_leaving(self, vm_id):
+        """List a VM as leaving."""
+        self._leaving.add(vm_id)
+        self.publish_vms()
+
+    def mark_live(self, vm_id):
+        """List a VM as live."""
+        self._leaving.discard(vm_id)
+        self.publish_vms()
+
+    def _build_row(self, place, role, service):
+        return {
+            'vm_id': place.vm_id,
+            'role': role,
+            'service': service,
+            'data_centre': place.data_centre,
+            'state': 'leaving' if place.vm_id in self._leaving else 'live',
+            'address': self.addresses_by_name[place.vm_id],
+        }
+
+    def _control(self, action, body):
+        address = self.addresses_by_name['platform']
+        clients.call('POST', address, f'/control/{action}', body=body)
+
+    def read_status(self, name):
+        """Return the status of a daemon."""
+        address = self.admin_addresses_by_name[name]
+        return clients.call('GET', address, '/status').document
+
+    def wait_until_ready(self):
+        """Wait until each running entry is connected to each target."""
+        running = sum(
+            self.processes_by_name[vm_id].running
+            for vm_id in self._targets_by_id
+        )
+        for vm_id in self._entries_by_id:
+            if self.processes_by_name[vm_id].running:
+                self.wait_for_status(
+                    vm_id, ready=True, targets_connected=running
+                )
+
+    def wait_for_status(self, name, **wanted):
+        """Wait until a daemon's status shows the ``wanted`` fields."""
+        deadline_s = time.monotonic() + READY_TIMEOUT_S
+        status = {}
+        while time.monotonic() < deadline_s:
+            status = self.read_status(name)
+            if all(status.get(key) == item for key, item in wanted.items()):
+                return status
+            time.sleep(POLL_S)
+        log = self.processes_by_name[name].read_log()
+        raise TimeoutError(f'{name}: {status} is not {wanted}\n{log}')
+
+    def count_runs(self):
+        """Return how often each payment ran, over all applications."""
+        runs = {}
+        for vm_id, place in self._targets_by_id.items():
+            if place.service != ACCOUNT:
+                continue
+            address = self.addresses_by_name[f'{vm_id}.backend']
+            answer = clients.call('GET', address, '/control/runs')
+            for reference, count in answer.document.items():
+                runs[reference] = runs.get(reference, 0) + count
+        return runs
+
+    def set_backend_faults(self, vm_id, **faults):
+        """Switch faults of a stand-in behind a target on or off."""
+        address = self.addresses_by_name[f'{vm_id}.backend']
+        clients.call('POST', address, '/control/faults', body=faults)
--- /dev/null
+++ b/packages/savoryyoke-fakes/savoryyoke_fakes/publish.py
@@ -0,0 +1,59 @@
+"""Publish an operators' file and a list of VMs through the stand-in."""
+
+import pathlib
+
+import fire
+
+from savoryyoke_fakes import clients
+
+
+def publish(platform, base, entry, target, overlay=None, site='demo'):
+    """Publish the file ``base`` and one entry and one target.
+
+    ``entry`` is ``id,data-centre,address`` and ``target`` is
+    ``id,data-centre,service,address``.
+    """
+    _publish_value(platform, 'base', base)
+    if overlay is not None:
+        _publish_value(platform, f'overlay.{site}', overlay)
+    rows = [_build_entry(entry), _build_target(target)]
+    clients.call('POST', platform, '/control/vms', body={'vms': rows})
+
+
+def _publish_value(platform, name, path):
+    text = pathlib.Path(path).read_text()
+    clients.call(
+        'POST', platform, '/control/publish', body={'name': name, 'text': text}
+    )
+
+
+def _build_entry(parts):
+    vm_id, data_centre, address = _split(parts)
+    return {
+        'vm_id': vm_id,
+        'role': 'entry',
+        'data_centre': data_centre,
+        'state': 'live',
+        'address': address,
+    }
+
+
+def _build_target(parts):
+    vm_id, data_centre, service, address = _split(parts)
+    return {
+        'vm_id': vm_id,
+        'role': 'target',
+        'service': service,
+        'data_centre': data_centre,
+        'state': 'live',
+        'address': address,
+    }
+
+
+def _split(parts):
+    """Return the fields of a flag, which fire may have split already."""
+    return parts.split(',') if isinstance(parts, str) else list(parts)
+
+
+if __name__ == '__main__':
+    fire.Fire(publish)
--- /dev/null
+++ b/packages/savoryyoke-target/savoryyoke_target/daemon.py
@@ -0,0 +1,306 @@
+"""Tie the parts of the target process together."""
+
+import secrets
+import signal
+
+import anyio
+import anyio.abc
+import prometheus_client
+
+from savoryyoke.admission import aggregates
+from savoryyoke.admission import conf as admission_conf
+from savoryyoke.admission import events as admission_events
+from savoryyoke.calls import conf as calls_conf
+from savoryyoke.calls.ledger import authority
+from savoryyoke_edge import admin
+from savoryyoke_edge import configurations
+from savoryyoke_edge import connections
+from savoryyoke_edge import exceptions as edge_exceptions
+from savoryyoke_edge import logs
+from savoryyoke_edge import platform
+from savoryyoke_edge import servers
+from savoryyoke_target import backends
+from savoryyoke_target import conf
+from savoryyoke_target import dispatcher
+from savoryyoke_target import keyed_calls
+from savoryyoke_target import metrics
+from savoryyoke_target import sessions
+from savoryyoke_wire import conf as wire_conf
+from savoryyoke_wire import messages
+
+INCARNATION_BITS = 64
+DRAIN_POLL_S = 0.05
+
+
+class Daemon:
+    """Guard one back end: take calls from entries, answer each in full."""
+
+    def __init__(self, *, settings):
+        self._settings = settings
+        self._clock = anyio.current_time
+        self._incarnation = secrets.randbits(INCARNATION_BITS)
+        self._registry = prometheus_client.CollectorRegistry()
+        self._sessions_by_number = {}
+        self._session_count = 0
+        self._drain_requested = anyio.Event()
+        self._draining = False
+        self._admission = aggregates.Admission(
+            limits=admission_conf.AdmissionLimits()
+        )
+        self._ledger = None
+        self._dispatcher = None
+        self._keyed_calls = None
+        self._configuration = None
+
+    @property
+    def ready(self):
+        """Tell whether entries may send work here."""
+        applied = self._configuration and self._configuration.applied
+        return applied is not None and not self._draining
+
+    def start_drain(self):
+        """Begin the planned stop of this process."""
+        self._drain_requested.set()
+
+    def build_status(self):
+        """Return what operators may see."""
+        load = self._admission.snapshot()
+        applied = self._configuration and self._configuration.applied
+        return {
+            'role': 'target',
+            'target_id': self._settings.target_id,
+            'incarnation': f'{self._incarnation:016x}',
+            'data_centre': self._settings.data_centre,
+            'service': self._settings.service,
+            'draining': self._draining,
+            'entries': len(self._sessions_by_number),
+            'running': load.running,
+            'queued': load.queued,
+            'limit': load.concurrency_limit,
+            'cold': load.cold,
+            'records': self._ledger.record_count,
+            'revision': _format_revision(applied),
+        }
+
+    async def run(self):
+        """Serve until drained or cancelled."""
+        started_s = self._clock()
+        self._ledger = authority.Ledger(
+            target_id=self._settings.target_id,
+            incarnation=self._incarnation,
+            started_s=started_s,
+            limits=calls_conf.LedgerLimits(
+                record_limit=self._settings.ledger_limit_records
+            ),
+        )
+        async with anyio.create_task_group() as tasks:
+            self._build_parts(tasks)
+            await self._serve(tasks)
+            tasks.cancel_scope.cancel()
+
+    def _build_parts(self, tasks):
+        backend = backends.Backend(
+            url=self._settings.backend_url,
+            connect_timeout_s=self._settings.connect_timeout_s,
+            answer_limit_bytes=conf.ANSWER_LIMIT_BYTES,
+        )
+        self._keyed_calls = keyed_calls.KeyedCalls(
+            ledger=self._ledger,
+            backend=backend,
+            tasks=tasks,
+            clock=self._clock,
+            backend_timeout_s=self._settings.backend_timeout_s,
+        )
+        self._dispatcher = dispatcher.Dispatcher(
+            admission=self._admission,
+            keyed_calls=self._keyed_calls,
+            backend=backend,
+            tasks=tasks,
+            clock=self._clock,
+        )
+        self._keyed_calls.attach(self._dispatcher.feed_admission)
+        self._configuration = configurations.ConfigurationWatch(
+            reader=platform.PlatformReader(url=self._settings.platform_url),
+            site=self._settings.site,
+            clock=self._clock,
+            on_applied=self._apply_configuration,
+        )
+        metrics.register(
+            self._registry,
+            admission=self._admission,
+            ledger=self._ledger,
+            dispatcher=self._dispatcher,
+        )
+
+    async def _serve(self, tasks):
+        listener = await anyio.create_tcp_listener(
+            local_host=self._settings.listen_address.host,
+            local_port=self._settings.listen_address.port,
+        )
+        admin_socket = servers.bind(self._settings.admin_address)
+        admin_server = servers.build_server(
+            admin.Admin(
+                daemon=self,
+                registry=self._registry,
+                token=self._settings.admin_token,
+            ),
+            header_timeout_s=conf.ADMIN_HEADER_TIMEOUT_S,
+        )
+        self._announce(listener, admin_socket)
+        tasks.start_soon(self._configuration.run)
+        tasks.start_soon(self._tick)
+        tasks.start_soon(self._report_load)
+        tasks.start_soon(self._watch_signals)
+        tasks.start_soon(self._accept, listener)
+        tasks.start_soon(_serve_admin, admin_server, admin_socket)
+        await self._drain_requested.wait()
+        await self._drain()
+        await listener.aclose()
+        admin_server.should_exit = True
+
+    def _announce(self, listener, admin_socket):
+        address = listener.extra(anyio.abc.SocketAttribute.local_address)
+        admin_address = admin_socket.getsockname()
+        logs.write_event(
+            'target_started',
+            target=self._settings.target_id,
+            incarnation=f'{self._incarnation:016x}',
+            address=f'{address[0]}:{address[1]}',
+            admin_address=f'{admin_address[0]}:{admin_address[1]}',
+            backend=self._settings.backend_url,
+        )
+
+    def _apply_configuration(self, applied):
+        services = applied.configuration.services_by_name
+        service = services.get(self._settings.service)
+        if service is None:
+            logs.write_event(
+                'service_not_configured',
+                level='error',
+                service=self._settings.service,
+            )
+            return
+        highest = service.admission.max_concurrency
+        limits = admission_conf.AdmissionLimits(
+            max_concurrency=highest,
+            initial_concurrency=min(
+                service.warm_up.initial_concurrency, highest
+            ),
+            queue_limit=service.admission.queue_limit,
+        )
+        self._dispatcher.feed_admission(
+            admission_events.LimitsChanged(limits=limits)
+        )
+
+    async def _accept(self, listener):
+        await listener.serve(self._handle_connection)
+
+    async def _handle_connection(self, stream):
+        connection = connections.Connection(
+            stream=stream, hello=self._build_hello()
+        )
+        try:
+            early = await connection.open()
+        except edge_exceptions.ConnectionLost as error:
+            logs.write_event(
+                'connection_refused', level='warning', reason=str(error)
+            )
+            await anyio.aclose_forcefully(stream)
+            return
+        self._session_count += 1
+        session = sessions.Session(
+            number=self._session_count, connection=connection
+        )
+        self._sessions_by_number[session.number] = session
+        session.send(self._build_load())
+        try:
+            await connection.run(
+                lambda message: self._dispatcher.receive(session, message),
+                early,
+            )
+        finally:
+            del self._sessions_by_number[session.number]
+            self._dispatcher.end_session(session)
+
+    def _build_hello(self):
+        return messages.Hello(
+            version_low=wire_conf.VERSION_LOW,
+            version_high=wire_conf.VERSION_HIGH,
+            process_id=self._settings.target_id,
+            incarnation=self._incarnation,
+            data_centre=self._settings.data_centre,
+            service=self._settings.service,
+        )
+
+    def _build_load(self):
+        now_s = self._clock()
+        load = self._admission.snapshot()
+        applied = self._configuration.applied
+        return messages.Load(
+            sent_ms=int(now_s * 1000),
+            running=load.running,
+            queued=load.queued,
+            limit=load.concurrency_limit,
+            wait_ms=int(load.estimated_wait_s * 1000),
+            cold=load.cold,
+            draining=self._draining,
+            stamps=tuple(
+                messages.Stamp(
+                    target_id=stamp.target_id,
+                    incarnation=stamp.incarnation,
+                    stamp_ms=stamp.stamp_ms,
+                    window_ms=stamp.window_ms,
+                )
+                for stamp in self._ledger.stamps(now_s=now_s)
+            ),
+            revision=_format_revision(applied),
+        )
+
+    async def _report_load(self):
+        while True:
+            await anyio.sleep(self._settings.heartbeat_period_s)
+            self._send_load()
+
+    def _send_load(self):
+        load = self._build_load()
+        for session in self._sessions_by_number.values():
+            session.send(load)
+
+    async def _tick(self):
+        while True:
+            await anyio.sleep(conf.TICK_S)
+            self._dispatcher.feed_admission(admission_events.Ticked())
+            self._keyed_calls.tick()
+
+    async def _watch_signals(self):
+        with anyio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT
+        ) as signals:
+            async for received in signals:
+                logs.write_event('signal_received', signal=received.name)
+                self.start_drain()
+
+    async def _drain(self):
+        """Take no new work, finish what runs, then return."""
+        self._draining = True
+        logs.write_event('drain_started', target=self._settings.target_id)
+        self._send_load()
+        self._dispatcher.feed_admission(admission_events.DrainStarted())
+        with anyio.move_on_after(self._settings.drain_timeout_s):
+            while self._dispatcher.unfinished:
+                await anyio.sleep(DRAIN_POLL_S)
+        logs.write_event(
+            'drain_finished',
+            target=self._settings.target_id,
+            unfinished=self._dispatcher.unfinished,
+        )
+
+
+async def _serve_admin(server, listener):
+    await server.serve(sockets=[listener])
+
+
+def _format_revision(applied):
+    if not applied:
+        return ''
+    return f'{applied.revision.base}.{applied.revision.overlay}'
--- /dev/null
+++ b/packages/savoryyoke-target/savoryyoke_target/keyed_calls.py
@@ -0,0 +1,216 @@
+"""Run non-idempotent calls as the ledger allows, and answer from it."""
+
+import dataclasses
+import functools
+
+from savoryyoke.admission import events as admission_events
+from savoryyoke.calls import exceptions as calls_exceptions
+from savoryyoke.calls import keys
+from savoryyoke.calls.ledger import decisions as ledger_decisions
+from savoryyoke.calls.ledger import events as ledger_events
+from savoryyoke.calls import outcomes
+from savoryyoke_edge import logs
+from savoryyoke_target import arrivals
+from savoryyoke_target import conf
+from savoryyoke_target import exceptions
+from savoryyoke_target import responses
+from savoryyoke_target import sessions
+from savoryyoke_wire import messages
+
+SHORTEST_RUN_S = 0.001
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Attempt:
+    """Hold where the answer to one attempt of a call goes."""
+
+    session: sessions.Session
+    call_id: int
+
+
+class KeyedCalls:
+    """Own the ledger of this process and the calls that it admitted."""
+
+    def __init__(self, *, ledger, backend, tasks, clock, backend_timeout_s):
+        self._ledger = ledger
+        self._backend = backend
+        self._tasks = tasks
+        self._clock = clock
+        self._backend_timeout_s = backend_timeout_s
+        self._attempts_by_message = {}
+        self._calls_by_key = {}
+        self._running_ids = set()
+        self._offered = None
+        self._feed_admission = None
+
+    def attach(self, feed_admission):
+        """Set how to pass events to admission."""
+        self._feed_admission = feed_admission
+
+    @property
+    def unfinished(self):
+        """Return how many attempts have no answer yet."""
+        return len(self._attempts_by_message) + len(self._calls_by_key)
+
+    def offer(self, session, call):
+        """Take an attempt, or the request to close its key."""
+        try:
+            key = keys.parse(call.key)
+        except calls_exceptions.InvalidKey as error:
+            refusal = messages.Refusal(
+                call_id=call.call_id,
+                outcome=messages.Outcome.NOT_RUN,
+                reason=f'invalid-key: {error}',
+            )
+            session.send(refusal)
+            return
+        self._attempts_by_message[call.attempt, call.number] = Attempt(
+            session=session, call_id=call.call_id
+        )
+        if call.seal_only:
+            self._seal(key, call)
+            return
+        self._offered = call
+        self.feed(
+            ledger_events.Offered(
+                key=key,
+                fingerprint=call.fingerprint,
+                attempt_id=call.attempt,
+                number=call.number,
+                stamp_ms=call.stamp_ms,
+                remaining_s=call.remaining_ms / 1000,
+            )
+        )
+        self._offered = None
+
+    def _seal(self, key, call):
+        self.feed(
+            ledger_events.SealRequested(
+                key=key,
+                fingerprint=call.fingerprint,
+                attempt_id=call.attempt,
+                number=call.number,
+            )
+        )
+
+    def end_session(self, session):
+        """Forget the attempts of an entry that has gone."""
+        gone = [
+            message
+            for message, attempt in self._attempts_by_message.items()
+            if attempt.session is session
+        ]
+        for message in gone:
+            del self._attempts_by_message[message]
+
+    def tick(self):
+        """Let the ledger notice the time."""
+        self.feed(ledger_events.Ticked())
+
+    def start(self, call_id):
+        """Run an admitted call, unless the ledger has closed its key."""
+        key, _ = self._calls_by_key[call_id]
+        self.feed(ledger_events.HandOverRequested(key=key))
+        if not self._is_running(call_id):
+            self._release(call_id)
+
+    def refuse(self, refusal):
+        """Report to the ledger that admission refused a call."""
+        entry = self._calls_by_key.pop(refusal.call_id, None)
+        if entry is None:
+            return
+        self.feed(
+            ledger_events.Refused(
+                key=entry[0], retry_after_s=refusal.retry_after_s
+            )
+        )
+
+    def feed(self, event):
+        """Pass an event to the ledger and carry out its decisions."""
+        for decision in self._ledger.apply(event, now_s=self._clock()):
+            self._carry_out(decision)
+
+    @functools.singledispatchmethod
+    def _carry_out(self, decision):
+        raise exceptions.TargetError(f'unknown decision {decision}')
+
+    @_carry_out.register
+    def _(self, decision: ledger_decisions.Admit):
+        call_id = decision.key.format()
+        self._calls_by_key[call_id] = (decision.key, self._offered)
+        arrival = arrivals.build_arrival(call_id, self._offered)
+        self._feed_admission(arrival)
+
+    @_carry_out.register
+    def _(self, decision: ledger_decisions.Abandon):
+        call_id = decision.key.format()
+        if self._calls_by_key.pop(call_id, None) is not None:
+            self._feed_admission(admission_events.Cancelled(call_id=call_id))
+
+    @_carry_out.register
+    def _(self, decision: ledger_decisions.HandOver):
+        call_id = decision.key.format()
+        self._running_ids.add(call_id)
+        self._tasks.start_soon(self._run, call_id)
+
+    @_carry_out.register
+    def _(self, decision: ledger_decisions.Respond):
+        message = (decision.attempt_id, decision.number)
+        attempt = self._attempts_by_message.pop(message, None)
+        if attempt is not None:
+            responses.send_outcome(attempt, decision.outcome)
+
+    def _is_running(self, call_id):
+        return call_id in self._running_ids
+
+    def _release(self, call_id):
+        """Free admission's place of a call that was never handed over."""
+        self._calls_by_key.pop(call_id, None)
+        self._feed_admission(admission_events.Cancelled(call_id=call_id))
+        self._finish_admission(call_id, succeeded=False, service_time_s=0.0)
+
+    async def _run(self, call_id):
+        key, call = self._calls_by_key[call_id]
+        started_s = self._clock()
+        event, succeeded = await self._fetch(key, call)
+        self._running_ids.discard(call_id)
+        del self._calls_by_key[call_id]
+        self.feed(event)
+        service_time_s = max(self._clock() - started_s, SHORTEST_RUN_S)
+        self._finish_admission(
+            call_id, succeeded=succeeded, service_time_s=service_time_s
+        )
+
+    async def _fetch(self, key, call):
+        """Return the ledger's event for the end of a run, and its success."""
+        try:
+            status, headers, body = await self._backend.fetch(
+                call, timeout_s=self._backend_timeout_s
+            )
+        except exceptions.NothingSent as error:
+            _log_failure(key, error)
+            return ledger_events.HandOverFailed(key=key), False
+        except exceptions.AnswerLost as error:
+            _log_failure(key, error)
+            return ledger_events.HandOverLost(key=key), False
+        answer = outcomes.Answer(status=status, headers=headers, body=body)
+        event = ledger_events.Completed(key=key, answer=answer)
+        return event, status < conf.SERVER_ERROR_STATUS
+
+    def _finish_admission(self, call_id, *, succeeded, service_time_s):
+        self._feed_admission(
+            admission_events.Finished(
+                call_id=call_id,
+                succeeded=succeeded,
+                service_time_s=service_time_s,
+            )
+        )
+
+
+def _log_failure(key, error):
+    logs.write_event(
+        'backend_failed',
+        level='warning',
+        key=key.format(),
+        reason=str(error),
+    )
--- a/packages/savoryyoke-wire/savoryyoke_wire/codec.py
+++ b/packages/savoryyoke-wire/savoryyoke_wire/codec.py
@@ -25,6 +25,15 @@
     return re.sub('_([a-z])', lambda match: match.group(1).upper(), name)
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Structure:
+    """Say how the items of a list of structures are read and written."""
+
+    item_class: type
+    limit: int
+    fields: tuple[tuple[str, str], ...]
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _Plan:
     """Say how the fields of one message class are read and written."""
@@ -33,29 +42,43 @@
     member: str
     plain: tuple[tuple[str, str], ...]
     texts: tuple[tuple[str, str], ...]
-    headers: tuple[tuple[str, str], ...]
-    text_lists: tuple[tuple[str, str], ...]
+    structures: tuple[tuple[str, str, '_Structure'], ...]
     outcomes: tuple[tuple[str, str], ...]
 
 
+def _make_structure(item_class, *, limit):
+    fields = dataclasses.fields(item_class)
+    return _Structure(
+        item_class=item_class,
+        limit=limit,
+        fields=tuple(
+            (item.name, _to_field_name(item.name)) for item in fields
+        ),
+    )
+
+
+_STRUCTURES_BY_HINT = {
+    tuple[messages.Header, ...]: _make_structure(
+        messages.Header, limit=conf.HEADERS_LIMIT
+    ),
+    tuple[messages.Stamp, ...]: _make_structure(
+        messages.Stamp, limit=conf.LIST_LIMIT
+    ),
+}
+
+
 def _make_plan(message_class):
-    groups = {
-        'plain': [],
-        'texts': [],
-        'headers': [],
-        'text_lists': [],
-        'outcomes': [],
-    }
-    kinds = {
-        str: 'texts',
-        tuple[messages.Header, ...]: 'headers',
-        tuple[str, ...]: 'text_lists',
-        messages.Outcome: 'outcomes',
-    }
+    groups = {'plain': [], 'texts': [], 'structures': [], 'outcomes': []}
     hints = typing.get_type_hints(message_class)
     for field in dataclasses.fields(message_class):
-        group = kinds.get(hints[field.name], 'plain')
-        groups[group].append((field.name, _to_field_name(field.name)))
+        hint = hints[field.name]
+        names = (field.name, _to_field_name(field.name))
+        if hint in _STRUCTURES_BY_HINT:
+            groups['structures'].append((*names, _STRUCTURES_BY_HINT[hint]))
+        elif hint is messages.Outcome:
+            groups['outcomes'].append(names)
+        else:
+            groups['texts' if hint is str else 'plain'].append(names)
     return _Plan(
         message_class=message_class,
         member=_to_member_name(message_class.__name__),
@@ -82,10 +105,8 @@
         setattr(body, field, getattr(message, name))
     for name, field in plan.outcomes:
         setattr(body, field, getattr(message, name).value)
-    for name, field in plan.headers:
-        _write_headers(body.init, field, getattr(message, name))
-    for name, field in plan.text_lists:
-        _write_texts(body.init, field, getattr(message, name))
+    for name, field, structure in plan.structures:
+        _write_items(body.init, field, getattr(message, name), structure)
     packed = envelope.to_bytes_packed()
     if len(packed) > conf.FRAME_LIMIT_BYTES:
         raise exceptions.LimitExceeded(
@@ -95,21 +116,14 @@
     return packed
 
 
-def _write_headers(init, field, headers):
-    if not headers:
-        return
-    items = init(field, len(headers))
-    for position, header in enumerate(headers):
-        items[position].name = header.name
-        items[position].value = header.value
-
-
-def _write_texts(init, field, texts):
-    if not texts:
+def _write_items(init, field, values, structure):
+    if not values:
         return
-    items = init(field, len(texts))
-    for position, text in enumerate(texts):
-        items[position] = text
+    items = init(field, len(values))
+    for position, value in enumerate(values):
+        item = items[position]
+        for name, item_field in structure.fields:
+            setattr(item, item_field, getattr(value, name))
 
 
 def decode(packed):
@@ -152,10 +166,8 @@
         values[name] = _check_text(name, getattr(body, field))
     for name, field in plan.outcomes:
         values[name] = messages.Outcome(str(getattr(body, field)))
-    for name, field in plan.headers:
-        values[name] = _read_headers(getattr(body, field))
-    for name, field in plan.text_lists:
-        values[name] = _read_texts(name, getattr(body, field))
+    for name, field, structure in plan.structures:
+        values[name] = _read_items(name, getattr(body, field), structure)
     return plan.message_class(**values)
 
 
@@ -165,22 +177,22 @@
     return text
 
 
-def _read_headers(items):
-    if len(items) > conf.HEADERS_LIMIT:
-        raise exceptions.LimitExceeded(f'{len(items)} headers')
-    return tuple(
-        messages.Header(
-            name=_check_text('header', item.name),
-            value=_check_text('header', item.value),
-        )
-        for item in items
-    )
+def _read_items(name, items, structure):
+    if len(items) > structure.limit:
+        raise exceptions.LimitExceeded(f'{name} holds {len(items)} items')
+    return tuple(_read_item(item, structure) for item in items)
 
 
-def _read_texts(name, items):
-    if len(items) > conf.LIST_LIMIT:
-        raise exceptions.LimitExceeded(f'{name} holds {len(items)} items')
-    return tuple(_check_text(name, item) for item in items)
+def _read_item(item, structure):
+    values = {
+        name: _check_value(name, getattr(item, field))
+        for name, field in structure.fields
+    }
+    return structure.item_class(**values)
+
+
+def _check_value(name, value):
+    return _check_text(name, value) if isinstance(value, str) else value
 
 
 @functools.cache
--- a/packages/savoryyoke-wire/savoryyoke_wire/messages.py
+++ b/packages/savoryyoke-wire/savoryyoke_wire/messages.py
@@ -31,7 +31,7 @@
     version_low: int
     version_high: int
     process_id: str
-    incarnation: str
+    incarnation: int
     data_centre: str
     service: str = ''
 
@@ -61,6 +61,8 @@
     cost: float = 1.0
     credit_bytes: int = 0
     seal_only: bool = False
+    attempt: str = ''
+    number: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -116,14 +118,25 @@
     retry_after_ms: int = 0
     same_key_may_return: bool = False
     handed_over: bool = False
+    holds_for_ms: int = 0
+    status: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
-class Load:
-    """Report the load of a target and the state of its ledger."""
+class Stamp:
+    """Hold the clock of one incarnation's ledger and who answers for it."""
 
+    target_id: str
+    incarnation: int
     stamp_ms: int
-    window: int
+    window_ms: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Load:
+    """Report the load of a target and the stamps of its ledger."""
+
+    sent_ms: int
     running: int
     queued: int
     limit: int
@@ -131,28 +144,58 @@
     cold: bool
     draining: bool
     kv_free: float = 1.0
-    heir: str = ''
-    inherited: tuple[str, ...] = ()
+    stamps: tuple[Stamp, ...] = ()
+    revision: str = ''
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Redirect:
+    """Send an entry's message on to the heir of a target that left."""
+
+    call_id: int
+    heir_target_id: str
+    heir_incarnation: int
+    stamp_ms: int
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Handover:
     """Carry one part of a ledger's snapshot to its heir."""
 
+    source_incarnation: int
+    export_number: int
     part: int
     parts: int
-    incarnation: str
     data: bytes
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
-class HandoverAck:
-    """Tell whether the heir took a ledger's snapshot."""
+class HandoverAnswer:
+    """Tell whether the heir holds a ledger's snapshot."""
 
-    incarnation: str
+    source_incarnation: int
+    export_number: int
     accepted: bool
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class HeirNamed:
+    """Tell the heir and the entries that the authority has moved."""
+
+    source_incarnation: int
+    export_number: int
+    heir_target_id: str
+    heir_incarnation: int
+    stamps: tuple[Stamp, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RecordTransfer:
+    """Carry the end of a call that was in progress at the handover."""
+
+    data: bytes
+
+
 Message = (
     Hello
     | Call
@@ -163,6 +206,9 @@
     | End
     | Refusal
     | Load
+    | Redirect
     | Handover
-    | HandoverAck
+    | HandoverAnswer
+    | HeirNamed
+    | RecordTransfer
 )
--- a/packages/savoryyoke-wire/savoryyoke_wire/protocol.capnp
+++ b/packages/savoryyoke-wire/savoryyoke_wire/protocol.capnp
@@ -14,7 +14,7 @@
   versionLow @0 :UInt16;
   versionHigh @1 :UInt16;
   processId @2 :Text;          # vm or target identifier
-  incarnation @3 :Text;        # hexadecimal, random at process start
+  incarnation @3 :UInt64;      # random, made at process start
   dataCentre @4 :Text;
   service @5 :Text;            # empty for an entry
 }
@@ -41,6 +41,8 @@
   cost @18 :Float64;           # estimated work in tokens
   creditBytes @19 :UInt32;     # first flow-control window
   sealOnly @20 :Bool;          # close the key; never start a run
+  attempt @21 :Text;           # the entry's identifier of the attempt
+  number @22 :UInt16;          # counts the messages of the attempt
 }
 
 struct Cancel {
@@ -85,32 +87,63 @@
   retryAfterMs @3 :UInt32;
   sameKeyMayReturn @4 :Bool;
   handedOver @5 :Bool;         # the back end may have seen the call
+  holdsForMs @6 :UInt32;       # how long a 'not run' holds after the request
+  status @7 :UInt16;           # of an answer that is no longer kept
+}
+
+# The clock of one incarnation's ledger, and the target that answers for it.
+struct Stamp {
+  targetId @0 :Text;
+  incarnation @1 :UInt64;
+  stampMs @2 :UInt64;
+  windowMs @3 :UInt32;
 }
 
 struct Load {
-  stampMs @0 :UInt64;
-  window @1 :UInt32;           # current window of the ledger
-  running @2 :UInt32;
-  queued @3 :UInt32;
-  limit @4 :UInt32;
-  waitMs @5 :UInt32;
-  cold @6 :Bool;
-  draining @7 :Bool;
-  kvFree @8 :Float64;          # ratio of free KV memory
-  heir @9 :Text;               # target that answers for this one's keys
-  inherited @10 :List(Text);   # incarnations this target answers for
+  sentMs @0 :UInt64;           # the sender's monotonic clock
+  running @1 :UInt32;
+  queued @2 :UInt32;
+  limit @3 :UInt32;
+  waitMs @4 :UInt32;
+  cold @5 :Bool;
+  draining @6 :Bool;
+  kvFree @7 :Float64;          # ratio of free KV memory
+  stamps @8 :List(Stamp);
+  revision @9 :Text;           # configuration in force at the sender
+}
+
+# Sends an entry's message on to the heir of a target that left.
+struct Redirect {
+  callId @0 :UInt64;
+  heirTargetId @1 :Text;
+  heirIncarnation @2 :UInt64;
+  stampMs @3 :UInt64;
 }
 
 struct Handover {
-  part @0 :UInt32;
-  parts @1 :UInt32;
-  incarnation @2 :Text;
-  data @3 :Data;
+  sourceIncarnation @0 :UInt64;
+  exportNumber @1 :UInt32;
+  part @2 :UInt32;
+  parts @3 :UInt32;
+  data @4 :Data;               # JSON of a snapshot, cut into parts
+}
+
+struct HandoverAnswer {
+  sourceIncarnation @0 :UInt64;
+  exportNumber @1 :UInt32;
+  accepted @2 :Bool;
+}
+
+struct HeirNamed {
+  sourceIncarnation @0 :UInt64;
+  exportNumber @1 :UInt32;
+  heirTargetId @2 :Text;
+  heirIncarnation @3 :UInt64;
+  stamps @4 :List(Stamp);
 }
 
-struct HandoverAck {
-  incarnation @0 :Text;
-  accepted @1 :Bool;
+struct RecordTransfer {
+  data @0 :Data;               # JSON of one record
 }
 
 struct Envelope {
@@ -124,7 +157,10 @@
     end @6 :End;
     refusal @7 :Refusal;
     load @8 :Load;
-    handover @9 :Handover;
-    handoverAck @10 :HandoverAck;
+    redirect @9 :Redirect;
+    handover @10 :Handover;
+    handoverAnswer @11 :HandoverAnswer;
+    heirNamed @12 :HeirNamed;
+    recordTransfer @13 :RecordTransfer;
   }
 }
--- /dev/null
+++ b/packages/savoryyoke/savoryyoke/calls/attempts/events.py
@@ -0,0 +1,47 @@
+"""Define the events that an attempt takes."""
+
+import dataclasses
+
+from savoryyoke.calls.ledger import snapshots
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Started:
+    """Report that the attempt may begin."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class OutcomeReceived:
+    """Report the ledger's response to message ``number``."""
+
+    number: int
+    outcome: object
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Redirected:
+    """Report that message ``number`` is to go to ``heir`` instead."""
+
+    number: int
+    heir: snapshots.Heir
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class TargetUnreachable:
+    """Report that the target of message ``number`` can't answer it.
+
+    ``heir_id`` is the target that answers instead, when one is known.
+    """
+
+    number: int
+    heir_id: str | None = None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CallerLeft:
+    """Report that the caller closed its connection."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Ticked:
+    """Report that time has passed; due at ``Attempt.wakes_s``."""
--- /dev/null
+++ b/packages/savoryyoke/savoryyoke/calls/attempts/machine.py
@@ -0,0 +1,186 @@
+"""Decide what an entry does with one attempt of a caller."""
+
+import enum
+import functools
+
+from savoryyoke.calls.attempts import decisions
+from savoryyoke.calls.attempts import events
+from savoryyoke.calls import conf
+from savoryyoke.calls import exceptions
+from savoryyoke.calls.ledger import events as ledger_events
+from savoryyoke.calls import outcomes
+
+_MayHaveRunReason = outcomes.MayHaveRunReason
+
+
+class _Phase(enum.Enum):
+    OFFERING = 'offering'
+    SEALING = 'sealing'
+    ENDED = 'ended'
+
+
+class Attempt:
+    """Hold one attempt from the caller's request to the one answer.
+
+    ``stamp_ms`` is the newest stamp of the key's incarnation that the entry
+    held when the request arrived, in doubt (``is_doubtful``) if the entry
+    may have been paused since. ``wakes_s`` is the time of the next tick.
+    """
+
+    def __init__(
+        self,
+        *,
+        attempt_id,
+        key,
+        fingerprint,
+        target_id,
+        stamp_ms,
+        deadline_s,
+        is_doubtful,
+        carried,
+        limits,
+    ):
+        self.attempt_id = attempt_id
+        self.key = key
+        self.fingerprint = fingerprint
+        self._target_id = target_id
+        # A pause too short to be detected must not make the stamp newer
+        # than the request's arrival.
+        threshold_ms = limits.pause_threshold_s * conf.MILLISECONDS_PER_SECOND
+        self._stamp_ms = stamp_ms - int(threshold_ms)
+        self._deadline_s = deadline_s
+        self._is_doubtful = is_doubtful
+        self._carried = carried
+        self._limits = limits
+        self._phase = _Phase.OFFERING
+        self._sent_s_by_number = {}
+        self._next_number = 0
+        self._redirect_count = 0
+
+    @property
+    def wakes_s(self):
+        """Return when the next tick is due, or None once it has ended."""
+        if self._phase is _Phase.ENDED:
+            return None
+        if self._phase is _Phase.SEALING:
+            return self._deadline_s
+        return self._deadline_s - self._limits.seal_margin_s
+
+    @functools.singledispatchmethod
+    def apply(self, event, *, now_s):
+        """Return the decisions that follow from ``event``."""
+        raise exceptions.UnknownEvent(event=event)
+
+    @apply.register
+    def _(self, event: events.Started, *, now_s):
+        if self._is_doubtful:
+            self._phase = _Phase.SEALING
+        return self._send(now_s)
+
+    @apply.register
+    def _(self, event: events.OutcomeReceived, *, now_s):
+        if self._is_stale(event):
+            return ()
+        outcome = event.outcome
+        if isinstance(outcome, outcomes.NotRun):
+            return self._confirm_not_run(event, now_s)
+        if isinstance(outcome, outcomes.MayHaveRun):
+            return self._deliver_doubt(outcome.reason)
+        if isinstance(outcome, outcomes.RanWithoutAnswer):
+            return self._deliver(self._recall() or outcome)
+        self._carried.remember(
+            key=self.key, fingerprint=self.fingerprint, outcome=outcome
+        )
+        return self._deliver(outcome)
+
+    @apply.register
+    def _(self, event: events.Redirected, *, now_s):
+        if self._is_stale(event):
+            return ()
+        return self._follow(event.number, event.heir.target_id, now_s)
+
+    @apply.register
+    def _(self, event: events.TargetUnreachable, *, now_s):
+        if self._is_stale(event):
+            return ()
+        if event.heir_id not in (None, self._target_id):
+            return self._follow(event.number, event.heir_id, now_s)
+        return self._deliver_doubt(_MayHaveRunReason.TARGET_UNREACHABLE)
+
+    @apply.register
+    def _(self, event: events.CallerLeft, *, now_s):
+        if self._phase is _Phase.ENDED:
+            return ()
+        self._phase = _Phase.SEALING
+        sent = self._send(now_s)
+        self._phase = _Phase.ENDED
+        return sent
+
+    @apply.register
+    def _(self, event: events.Ticked, *, now_s):
+        if self._phase is _Phase.ENDED or now_s < self.wakes_s:
+            return ()
+        was_sealing = self._phase is _Phase.SEALING
+        self._phase = _Phase.SEALING
+        sent = () if was_sealing else self._send(now_s)
+        if now_s < self._deadline_s:
+            return sent
+        return (*sent, *self._deliver_doubt(_MayHaveRunReason.DEADLINE))
+
+    def _is_stale(self, event):
+        return (
+            self._phase is _Phase.ENDED
+            or event.number not in self._sent_s_by_number
+        )
+
+    def _send(self, now_s):
+        number = self._next_number
+        self._next_number += 1
+        self._sent_s_by_number[number] = now_s
+        if self._phase is _Phase.SEALING:
+            message = ledger_events.SealRequested(
+                key=self.key,
+                fingerprint=self.fingerprint,
+                attempt_id=self.attempt_id,
+                number=number,
+            )
+        else:
+            message = ledger_events.Offered(
+                key=self.key,
+                fingerprint=self.fingerprint,
+                attempt_id=self.attempt_id,
+                number=number,
+                stamp_ms=self._stamp_ms,
+                remaining_s=self._deadline_s - now_s,
+            )
+        return (decisions.Send(target_id=self._target_id, message=message),)
+
+    def _follow(self, number, target_id, now_s):
+        del self._sent_s_by_number[number]
+        self._redirect_count += 1
+        if self._redirect_count > self._limits.redirect_limit:
+            return self._deliver_doubt(_MayHaveRunReason.REDIRECT_LIMIT)
+        self._target_id = target_id
+        return self._send(now_s)
+
+    def _confirm_not_run(self, event, now_s):
+        elapsed_s = now_s - self._sent_s_by_number[event.number]
+        elapsed_s *= 1 + self._limits.clock_drift
+        if elapsed_s <= event.outcome.holds_for_s:
+            return self._deliver(event.outcome)
+        # Attempts that arrived since the seal may run: seal again.
+        if now_s >= self._deadline_s:
+            return self._deliver_doubt(_MayHaveRunReason.DEADLINE)
+        self._phase = _Phase.SEALING
+        return self._send(now_s)
+
+    def _recall(self):
+        return self._carried.recall(key=self.key, fingerprint=self.fingerprint)
+
+    def _deliver_doubt(self, reason):
+        doubt = outcomes.MayHaveRun(reason=reason)
+        return self._deliver(self._recall() or doubt)
+
+    def _deliver(self, outcome):
+        self._phase = _Phase.ENDED
+        return (decisions.Deliver(outcome=outcome),)
--- a/packages/savoryyoke/savoryyoke/routing/bindings.py
+++ b/packages/savoryyoke/savoryyoke/routing/bindings.py
@@ -29,20 +29,26 @@
 
 
 def _weigh(state, *, summary, settings, now_s):
-    """Return the room for further calls, 0 where the target is full."""
+    """Return the room for further calls, 0 where the target is full.
+
+    Room in the queue counts for little, so that it is used last.
+    """
+    bounds = settings.occupancy_limits
+    if state.is_held(priority=len(bounds) - 1, now_s=now_s):
+        return 0.0
     quota = state.get_quota(now_s=now_s)
     if quota is not None and state.own_calls >= quota:
         return 0.0
-    if state.is_held(priority=0, now_s=now_s):
-        return 0.0
     load = state.estimate_load(
         mean_occupancy=summary.mean_occupancy, now_s=now_s
     )
-    bound = 1.0 if state.is_cold else settings.binding_occupancy_limit
-    room = bound * state.limit - load
+    room = max(0.0, state.limit - load)
     if quota is not None:
         room = min(room, quota - state.own_calls)
+    if not state.is_cold:
+        queue_room = max(0.0, bounds[-1] * state.limit - load)
+        room += settings.binding_queue_weight * queue_room
     nearness = settings.default_distance_s / (
         settings.default_distance_s + state.distance_s
     )
-    return max(0.0, room) * nearness
+    return room * nearness
--- a/packages/savoryyoke/savoryyoke/routing/conf.py
+++ b/packages/savoryyoke/savoryyoke/routing/conf.py
@@ -66,4 +66,4 @@
     # Bindings of idempotency keys.
     binding_lifetime_s: float = 2.0
     bindings_count: int = 3
-    binding_occupancy_limit: float = 1.5
+    binding_queue_weight: float = 0.01
--- a/packages/savoryyoke/savoryyoke/routing/prefixes.py
+++ b/packages/savoryyoke/savoryyoke/routing/prefixes.py
@@ -86,20 +86,16 @@
         """Return how far beliefs about a target are trusted, 0 to 1."""
         return self._confidences_by_target_id.get(target_id, 1.0)
 
-    def verify(self, *, target_id, digests, expected, found):
-        """Compare an expected match with what the answer reported.
-
-        Drop the beliefs that the answer disproved.
-        """
-        if expected:
-            weight = self._settings.confidence_weight
-            ratio = min(1.0, found / expected)
-            confidence = self.get_confidence(target_id=target_id)
-            self._confidences_by_target_id[target_id] = confidence + weight * (
-                ratio - confidence
-            )
-        if found < expected:
-            self.remove(target_id=target_id, digests=digests[found:])
+    def verify(self, *, target_id, expected, found):
+        """Compare an expected match with what the answer reported."""
+        if not expected:
+            return
+        ratio = min(1.0, max(0, found) / expected)
+        confidence = self.get_confidence(target_id=target_id)
+        weight = self._settings.confidence_weight
+        self._confidences_by_target_id[target_id] = confidence + weight * (
+            ratio - confidence
+        )
 
     def _forget(self, *, target_id, digest):
         del self._digests_by_target_id[target_id][digest]
--- a/packages/savoryyoke/savoryyoke/routing/router.py
+++ b/packages/savoryyoke/savoryyoke/routing/router.py
@@ -255,7 +255,6 @@
         if event.cached_digests is not None:
             self._beliefs.verify(
                 target_id=call.target_id,
-                digests=call.digests,
                 expected=call.matched,
                 found=event.cached_digests,
             )
--- a/packages/savoryyoke/savoryyoke/routing/targets.py
+++ b/packages/savoryyoke/savoryyoke/routing/targets.py
@@ -118,7 +118,9 @@
             self._held_priority = priority
         else:
             self._held_priority = max(priority, self._held_priority)
-        pause_s = min(refusal.retry_after_s, self._settings.hold_off_limit_s)
+        pause_s = self._settings.hold_off_limit_s
+        if 0.0 <= refusal.retry_after_s < pause_s:
+            pause_s = refusal.retry_after_s
         self._held_until_s = max(self._held_until_s, now_s + pause_s)
 
     def is_held(self, *, priority, now_s):
