Compare the ledger of calls with an omniscient oracle

Cause: the state machines for non-idempotent calls had no test. Change: a small message queue with real ledgers and attempts, an oracle that records actual runs, and derandomized schedules of calls, repeats, freezes, cuts, restarts, drains and lost, doubled and delayed messages. Command: python -m unittest discover -s tests/calls -t . Conclusion: 400 schedules of 100 to 150 steps hold the promises.

--- /dev/null
+++ b/packages/savoryyoke/tests/calls/__init__.py
@@ -0,0 +1,1 @@
+"""Test non-idempotent calls."""
--- /dev/null
+++ b/packages/savoryyoke/tests/calls/test_schedules.py
@@ -0,0 +1,128 @@
+"""Compare ledgers and attempts with the omniscient oracle."""
+
+import contextlib
+import dataclasses
+import unittest
+from unittest import mock
+
+import hypothesis
+from hypothesis import strategies
+from savoryyoke.calls.ledger import handover
+from savoryyoke.calls.ledger import records
+from savoryyoke.calls.ledger import rules
+from savoryyoke.calls.ledger import snapshots
+
+from tests.calls import oracle as oracles
+from tests.calls import schedules
+from tests.calls import world as worlds
+
+EXAMPLES = 400
+MUTATION_EXAMPLES = 3_000
+STEP_BYTES = 3
+STEPS_MINIMUM = 100
+STEPS_MAXIMUM = 150
+
+_OPERATIONS = schedules.OPERATIONS
+_PHASES = (hypothesis.Phase.generate, hypothesis.Phase.shrink)
+
+
+def _decode(data):
+    for i in range(0, len(data) - STEP_BYTES + 1, STEP_BYTES):
+        name = _OPERATIONS[data[i] % len(_OPERATIONS)]
+        yield name, data[i + 1] % 16, data[i + 2] % 16
+
+
+def _check_schedules(*, examples=EXAMPLES, seen=None, phases=_PHASES):
+    """Run ``examples`` schedules; raise ``FalseAnswer`` at a false one."""
+
+    @hypothesis.settings(
+        derandomize=True,
+        deadline=None,
+        max_examples=examples,
+        database=None,
+        phases=phases,
+        suppress_health_check=tuple(hypothesis.HealthCheck),
+    )
+    @hypothesis.given(
+        strategies.binary(
+            min_size=STEPS_MINIMUM * STEP_BYTES,
+            max_size=STEPS_MAXIMUM * STEP_BYTES,
+        )
+    )
+    def check(data):
+        oracle = oracles.Oracle()
+        schedules.Schedule(oracle=oracle).run(_decode(data))
+        if seen is not None:
+            seen.update(oracle.counts)
+
+    check()
+
+
+class ScheduleTest(unittest.TestCase):
+    """Check the promises under failures in any order."""
+
+    def test_promises_hold_under_random_failures(self):
+        seen = set()
+        _check_schedules(seen=seen)
+        expected = {'Ran', 'NotRun', 'MayHaveRun', 'Rejected'}
+        self.assertLessEqual(expected, seen)
+
+
+def _copy_as_sealed(record, *, answer):
+    copy = snapshots.RecordCopy(
+        key=record.book.key(record),
+        fingerprint=record.fingerprint,
+        phase=record.phase,
+        seal_ms=record.seal_ms,
+        status=record.status,
+        answer=answer,
+    )
+    if record.phase not in records.IN_PROGRESS:
+        return copy
+    return dataclasses.replace(copy, phase=records.Phase.SEALED)
+
+
+def _is_awaiting_for_ever(self, *, export_number):
+    return self.heir is not None and self._export_number == export_number
+
+
+class _RestartedTarget(worlds.Target):
+    def __init__(self, *, target_id, incarnation, now_s, limits):
+        incarnation = 1_000 + int(target_id[1:])
+        super().__init__(
+            target_id=target_id,
+            incarnation=incarnation,
+            now_s=now_s,
+            limits=limits,
+        )
+
+
+MUTATIONS = {
+    'without the stamp check': (
+        (rules.Rules, '_refusal', lambda *args: None),
+    ),
+    'without the window floors': (
+        (rules.Rules, '_refuse_by_window', lambda *args: ()),
+    ),
+    'without new incarnations': ((worlds, 'Target', _RestartedTarget),),
+    'reopening after the hand-over': (
+        (handover.Handover, 'is_awaiting', _is_awaiting_for_ever),
+    ),
+    'forgetting calls in progress at a hand-over': (
+        (snapshots, 'copy_record', _copy_as_sealed),
+    ),
+}
+
+
+class MutationTest(unittest.TestCase):
+    """Check that the schedules find each rule that is left out."""
+
+    def test_each_mutation_is_found(self):
+        for name, patches in MUTATIONS.items():
+            with self.subTest(name), contextlib.ExitStack() as stack:
+                for patch in patches:
+                    stack.enter_context(mock.patch.object(*patch))
+                with self.assertRaises(oracles.FalseAnswer):
+                    _check_schedules(
+                        examples=MUTATION_EXAMPLES, phases=_PHASES[:1]
+                    )
