--- a/packages/savoryyoke-fakes/savoryyoke_fakes/fleets.py
+++ b/packages/savoryyoke-fakes/savoryyoke_fakes/fleets.py
@@ -147,44 +147,64 @@
         ]
 
     def _start_all(self):
-        self._report('starting the platform stand-in')
-        self.start_stand_in('platform', 'platform')
+        self._report('starting the stand-ins of platform and back ends')
+        self._launch_stand_in('platform', 'platform')
+        for vm_id in self._targets_by_id:
+            self._launch_backend(vm_id)
+        self._await_stand_in('platform')
         self.publish('base', self._base_text)
-        for place in self._targets_by_id.values():
-            self.start_backend(place.vm_id)
+        for vm_id, place in self._targets_by_id.items():
+            self._await_stand_in(f'{vm_id}.backend')
+            self._report(f'starting target {vm_id} ({place.service})')
+            self._launch_target(vm_id)
+        for vm_id in self._entries_by_id:
+            self._report(f'starting entry {vm_id}')
+            self._launch_entry(vm_id)
         for vm_id in self._targets_by_id:
-            self.start_target(vm_id)
+            self._await_daemon(vm_id, 'target_started')
         for vm_id in self._entries_by_id:
-            self.start_entry(vm_id)
+            self._await_daemon(vm_id, 'entry_started')
         self.publish_vms()
         self.wait_until_ready()
 
-    def start_stand_in(self, name, module, *flags):
+    def start_backend(self, vm_id):
+        """Start the engine or application of a target VM."""
+        self._launch_backend(vm_id)
+        self._await_stand_in(f'{vm_id}.backend')
+
+    def start_target(self, vm_id):
+        """Start the target process of a target VM."""
+        self._launch_target(vm_id)
+        self._await_daemon(vm_id, 'target_started')
+
+    def start_entry(self, vm_id):
+        """Start the entry daemon of an entry VM."""
+        self._launch_entry(vm_id)
+        self._await_daemon(vm_id, 'entry_started')
+
+    def _launch_backend(self, vm_id):
+        place = self._targets_by_id[vm_id]
+        module = 'engine' if place.service == LANGUAGE else 'application'
+        self._launch_stand_in(f'{vm_id}.backend', module)
+
+    def _launch_stand_in(self, name, module):
         """Start a stand-in; a restarted one keeps its address."""
         address = self.addresses_by_name.get(name, '127.0.0.1:0')
-        process = self._start(
+        self._start(
             name,
             f'savoryyoke_fakes.{module}',
             f'--listen_address={address}',
-            *flags,
         )
-        fields = process.wait_for_event('ready')
-        self.addresses_by_name[name] = fields['address']
 
-    def start_backend(self, vm_id):
-        """Start the engine or application of a target VM."""
-        place = self._targets_by_id[vm_id]
-        module = 'engine' if place.service == LANGUAGE else 'application'
-        self._report(f'starting the {module} stand-in on {vm_id}')
-        self.start_stand_in(f'{vm_id}.backend', module)
+    def _await_stand_in(self, name):
+        fields = self.processes_by_name[name].wait_for_event('ready')
+        self.addresses_by_name[name] = fields['address']
 
-    def start_target(self, vm_id):
-        """Start the target process of a target VM."""
+    def _launch_target(self, vm_id):
         place = self._targets_by_id[vm_id]
         kind = 'engine' if place.service == LANGUAGE else 'application'
         backend = self.addresses_by_name[f'{vm_id}.backend']
-        self._report(f'starting the target process on {vm_id}')
-        process = self._start(
+        self._start(
             vm_id,
             'savoryyoke_target',
             'run',
@@ -194,19 +214,20 @@
             f'--backend-kind={kind}',
             *self._build_flags(vm_id, place.data_centre),
         )
-        self._note(vm_id, process.wait_for_event('target_started'))
 
-    def start_entry(self, vm_id):
-        """Start the entry daemon of an entry VM."""
+    def _launch_entry(self, vm_id):
         place = self._entries_by_id[vm_id]
-        self._report(f'starting the entry daemon on {vm_id}')
-        process = self._start(
+        self._start(
             vm_id,
             'savoryyoke_entry',
             'run',
             *self._build_flags(vm_id, place.data_centre),
         )
-        self._note(vm_id, process.wait_for_event('entry_started'))
+
+    def _await_daemon(self, vm_id, event):
+        fields = self.processes_by_name[vm_id].wait_for_event(event)
+        self.addresses_by_name[vm_id] = fields['address']
+        self.admin_addresses_by_name[vm_id] = fields['admin_address']
 
     def _build_flags(self, vm_id, data_centre):
         address = self.addresses_by_name.get(vm_id, '127.0.0.1:0')
@@ -226,11 +247,7 @@
             log_path=pathlib.Path(self._directory.name, f'{name}.log'),
         )
         self.processes_by_name[name] = process
-        return process.start()
-
-    def _note(self, name, fields):
-        self.addresses_by_name[name] = fields['address']
-        self.admin_addresses_by_name[name] = fields['admin_address']
+        process.start()
 
     def publish(self, name, text):
         """Publish a value through the platform stand-in."""
--- /dev/null
+++ b/tests/support.py
@@ -0,0 +1,77 @@
+"""Share one fleet of real processes between the tests of a class."""
+
+import threading
+import time
+import unittest
+
+from savoryyoke_fakes import clients
+from savoryyoke_fakes import fleets
+
+WAIT_S = 20.0
+POLL_S = 0.02
+
+
+class FleetTestCase(unittest.TestCase):
+    """Start a fleet for the class and end it after the last test."""
+
+    base_text = fleets.BASE_TEXT
+    entries = fleets.ENTRIES
+    targets = fleets.TARGETS
+
+    @classmethod
+    def setUpClass(cls):
+        """Start the processes."""
+        super().setUpClass()
+        cls.fleet = fleets.Fleet(
+            base_text=cls.base_text, entries=cls.entries, targets=cls.targets
+        )
+        cls.enterClassContext(cls.fleet)
+
+    def setUp(self):
+        """Ask the directory which entry to use."""
+        super().setUp()
+        self.client = clients.Client(
+            team='members', entry_addresses=self.fleet.entry_addresses
+        )
+        self.client.ask_directory()
+
+    def count_runs(self, reference):
+        """Return how often a payment ran in the whole fleet."""
+        return self.fleet.count_runs().get(reference, 0)
+
+
+class Background:
+    """Run one call in a thread and hand out its answer."""
+
+    def __init__(self, function, *arguments, **options):
+        self._answer = None
+        self._error = None
+        self._thread = threading.Thread(
+            target=self._run, args=(function, arguments, options)
+        )
+        self._thread.start()
+
+    def _run(self, function, arguments, options):
+        try:
+            self._answer = function(*arguments, **options)
+        except Exception as error:
+            self._error = error
+
+    def get(self):
+        """Return the answer, or raise what the call raised."""
+        self._thread.join(WAIT_S)
+        if self._thread.is_alive():
+            raise TimeoutError('the call has no answer')
+        if self._error is not None:
+            raise self._error
+        return self._answer
+
+
+def wait_until(condition):
+    """Wait until ``condition()`` is true or raise ``TimeoutError``."""
+    deadline_s = time.monotonic() + WAIT_S
+    while time.monotonic() < deadline_s:
+        if condition():
+            return
+        time.sleep(POLL_S)
+    raise TimeoutError('the condition stays false')
--- /dev/null
+++ b/tests/test_payments.py
@@ -0,0 +1,157 @@
+"""Prove at-most-once runs and true answers with real processes."""
+
+from savoryyoke_fakes import clients
+from savoryyoke_fakes import fleets
+from tests import support
+
+
+def read_target(key):
+    """Return the target that a bound key names."""
+    return key.split('~')[1]
+
+
+class RepeatedPaymentTests(support.FleetTestCase):
+    """Test payments that callers send again."""
+
+    def test_same_key_at_the_same_moment_at_all_entries(self):
+        key = self.client.build_key(fleets.ACCOUNT, 'same-moment')
+        calls = [
+            support.Background(
+                self.client.pay, 'same-moment', key, address=address
+            )
+            for address in self.fleet.entry_addresses
+        ]
+        answers = [call.get() for call in calls]
+        self.assertEqual({200}, {answer.status for answer in answers})
+        self.assertEqual(1, len({answer.body for answer in answers}))
+        self.assertEqual(1, self.count_runs('same-moment'))
+
+    def test_same_key_with_another_body_is_refused(self):
+        key = self.client.build_key(fleets.ACCOUNT, 'other-body')
+        self.assertEqual(200, self.client.pay('other-body', key).status)
+        answer = self.client.pay('other-body-2', key)
+        self.assertEqual(422, answer.status)
+        self.assertEqual('not-run', answer.outcome)
+        self.assertEqual(0, self.count_runs('other-body-2'))
+
+    def test_key_without_binding_does_not_run(self):
+        answer = self.client.pay('plain', 'plain-key')
+        self.assertEqual(428, answer.status)
+        self.assertEqual(0, self.count_runs('plain'))
+        bound = f'{answer.document["binding"]}~plain'
+        self.assertEqual(200, self.client.pay('plain', bound).status)
+        self.assertEqual(1, self.count_runs('plain'))
+
+    def test_all_entries_replaced_between_first_try_and_repeat(self):
+        key = self.client.build_key(fleets.ACCOUNT, 'replaced')
+        first = self.client.pay('replaced', key)
+        for place in fleets.ENTRIES:
+            self.fleet.processes_by_name[place.vm_id].kill()
+        for place in fleets.ENTRIES:
+            self.fleet.start_entry(place.vm_id)
+        self.fleet.wait_until_ready()
+        second = self.client.pay('replaced', key)
+        self.assertEqual((200, first.body), (second.status, second.body))
+        self.assertEqual(1, self.count_runs('replaced'))
+
+
+class FrozenEntryTests(support.FleetTestCase):
+    """Test an entry that freezes and wakes up late."""
+
+    def test_entry_frozen_after_sending_thaws_after_the_repeat(self):
+        entry = fleets.ENTRIES[0].vm_id
+        addresses = self.fleet.entry_addresses
+        key = self.client.build_key(fleets.ACCOUNT, 'frozen')
+        self.fleet.set_backend_faults(read_target(key), payment_s=0.5)
+        first = support.Background(
+            self.client.pay, 'frozen', key, address=addresses[0]
+        )
+        support.wait_until(lambda: self.count_runs('frozen') == 1)
+        self.fleet.processes_by_name[entry].freeze()
+        second = self.client.pay('frozen', key, address=addresses[1])
+        self.fleet.processes_by_name[entry].thaw()
+        self.assertEqual(200, second.status)
+        self.assertEqual(second.body, first.get().body)
+        self.assertEqual(1, self.count_runs('frozen'))
+        self.fleet.set_backend_faults(read_target(key), payment_s=0.005)
+
+    def test_request_that_waited_in_a_frozen_entry_only_closes_its_key(self):
+        entry = fleets.ENTRIES[0].vm_id
+        addresses = self.fleet.entry_addresses
+        key = self.client.build_key(fleets.ACCOUNT, 'late')
+        self.fleet.processes_by_name[entry].freeze()
+        waiting = support.Background(
+            self.client.pay, 'late', key, address=addresses[0]
+        )
+        # The request lies unread in the frozen entry; the thawed one must
+        # not run it, since its caller may long have been answered.
+        self.fleet.wait_for_status(fleets.ENTRIES[1].vm_id, ready=True)
+        support.time.sleep(1.0)
+        self.fleet.processes_by_name[entry].thaw()
+        answer = waiting.get()
+        self.assertEqual((503, 'not-run'), (answer.status, answer.outcome))
+        self.assertEqual(0, self.count_runs('late'))
+
+
+class DeadTargetTests(support.FleetTestCase):
+    """Test target processes and applications that die."""
+
+    def _start_hanging_payment(self, reference):
+        key = self.client.build_key(fleets.ACCOUNT, reference)
+        target = read_target(key)
+        self.fleet.set_backend_faults(target, hang=True)
+        call = support.Background(self.client.pay, reference, key)
+        support.wait_until(lambda: self.count_runs(reference) == 1)
+        return key, target, call
+
+    def test_target_process_dies_between_hand_over_and_answer(self):
+        key, target, call = self._start_hanging_payment('died')
+        self.fleet.processes_by_name[target].kill()
+        answer = call.get()
+        self.assertEqual('may-have-run', answer.outcome)
+        self.fleet.start_target(target)
+        self.fleet.set_backend_faults(target, hang=False)
+        self.fleet.wait_until_ready()
+        again = self.client.pay('died', key)
+        self.assertEqual('may-have-run', again.outcome)
+        self.assertEqual(1, self.count_runs('died'))
+
+    def test_application_dies_while_it_runs_a_payment(self):
+        key, target, call = self._start_hanging_payment('lost')
+        self.fleet.processes_by_name[f'{target}.backend'].kill()
+        answer = call.get()
+        self.assertEqual('may-have-run', answer.outcome)
+        self.fleet.start_backend(target)
+        again = self.client.pay('lost', key)
+        self.assertEqual('may-have-run', again.outcome)
+        # The counter of the replaced application starts from zero.
+        self.assertEqual(0, self.count_runs('lost'))
+
+    def test_application_that_is_down_did_not_run_the_payment(self):
+        self.client.ask_directory()
+        key = self.client.build_key(fleets.ACCOUNT, 'down')
+        target = read_target(key)
+        backend = self.fleet.processes_by_name[f'{target}.backend']
+        backend.kill()
+        answer = self.client.pay('down', key)
+        self.assertEqual((503, 'not-run'), (answer.status, answer.outcome))
+        self.fleet.start_backend(target)
+        retry_after_s = int(answer.headers_by_name['retry-after'])
+        support.time.sleep(retry_after_s)
+        self.assertEqual(200, self.client.pay('down', key).status)
+        self.assertEqual(1, self.count_runs('down'))
+
+
+class CallerTests(support.FleetTestCase):
+    """Test callers that leave before the answer."""
+
+    def test_payment_whose_caller_left_is_answered_from_the_record(self):
+        key = self.client.build_key(fleets.ACCOUNT, 'left')
+        target = read_target(key)
+        self.fleet.set_backend_faults(target, payment_s=0.5)
+        with self.assertRaises(clients.httpcore.ReadTimeout):
+            self.client.pay('left', key, timeout_s=0.2)
+        answer = self.client.pay('left', key)
+        self.assertEqual(200, answer.status)
+        self.assertEqual(1, self.count_runs('left'))
+        self.fleet.set_backend_faults(target, payment_s=0.005)
