Tell callers which entry to use and doubt oneself when cut off

Cause: no balancer stands in front; callers ask any entry which one to use and keep the answer for a while.

Ruled out: modulo or least load (a change of one entry moves most callers), an agreed list of entries (needs shared state).

Change: weighted rendezvous hashing by the caller's identity, near entries first, weights by steps of load with hysteresis. Only entries heard lately are named. An entry that hears too little, or wakes from a pause, says so and names others. Messages and load reports that were read late count as old: stamps are compared with the fastest one seen.

--- /dev/null
+++ b/packages/savoryyoke/savoryyoke/directory/__init__.py
@@ -0,0 +1,1 @@
+"""Tell callers which entries to use."""
--- /dev/null
+++ b/packages/savoryyoke/savoryyoke/directory/decisions.py
@@ -0,0 +1,87 @@
+"""Define what a directory answers and decides."""
+
+import dataclasses
+import enum
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Caller:
+    """Describe a caller that asks which entry to use.
+
+    ``identity`` is any stable text, such as the team and the client's
+    address; callers with the same identity get the same entries.
+    """
+
+    identity: str
+    data_centre: str | None = None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class EntryAddress:
+    """Name one entry that a caller may use."""
+
+    entry_id: str
+    address: str
+    data_centre: str
+
+
+class CutOffReason(enum.Enum):
+    """Tell why an entry doubts what it knows."""
+
+    PAUSED = 'paused'
+    NO_TARGETS = 'no_targets'
+    ISOLATED = 'isolated'
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Answer:
+    """Give entries in order of preference, good for ``lifetime_s``."""
+
+    entries: tuple[EntryAddress, ...]
+    lifetime_s: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CutOff:
+    """Tell a caller to ask another entry.
+
+    ``alternatives`` are entries outside the silence as last known; the
+    caller may return after ``retry_after_s``.
+    """
+
+    reason: CutOffReason
+    alternatives: tuple[EntryAddress, ...]
+    retry_after_s: float
+
+
+class RejectionReason(enum.Enum):
+    """Tell why an event was rejected as a whole."""
+
+    UNKNOWN_ENTRY = 'unknown_entry'
+    OLD_INCARNATION = 'old_incarnation'
+    UNKNOWN_INCARNATION = 'unknown_incarnation'
+    OUT_OF_ORDER = 'out_of_order'
+    ABSURD_VALUE = 'absurd_value'
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class EventRejected:
+    """Report an event that changed nothing."""
+
+    event_name: str
+    entry_id: str
+    reason: RejectionReason
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class DrainPlanned:
+    """Tell when no caller keeps an answer that names this entry."""
+
+    drain_complete_at_s: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ContactChanged:
+    """Report that the entry became cut off, or no longer is (None)."""
+
+    reason: CutOffReason | None
--- /dev/null
+++ b/packages/savoryyoke/savoryyoke/directory/directory.py
@@ -0,0 +1,209 @@
+"""Answer callers with the entries they should use."""
+
+import functools
+
+from savoryyoke.directory import conf
+from savoryyoke.directory import contacts
+from savoryyoke.directory import decisions
+from savoryyoke.directory import entries
+from savoryyoke.directory import events
+from savoryyoke.directory import exceptions
+from savoryyoke.directory import ranking
+
+
+class Directory:
+    """Know the entries of the fleet as one entry sees them.
+
+    Events change the state through `apply`; times are monotonic seconds.
+    """
+
+    def __init__(self, *, entry_id, data_centre, settings=None):
+        self._entry_id = entry_id
+        self._data_centre = data_centre
+        self._settings = settings or conf.DirectorySettings()
+        self._states_by_id = {}
+        self._ended_by_id = {}
+        self._out = set()
+        self._contacts = contacts.ContactMonitor(settings=self._settings)
+        self._cut_off = None
+
+    def answer(self, caller, now_s):
+        """Return an `Answer`, or `CutOff` where this entry doubts itself."""
+        reason = self._judge(now_s=now_s)
+        if reason is not None:
+            return self._refer_elsewhere(caller, reason=reason)
+        usable = [
+            state
+            for state in self._states_by_id.values()
+            if self._is_usable(state) and self._is_heard(state, now_s=now_s)
+        ]
+        chosen = self._rank(usable, caller)[: self._settings.addresses_count]
+        if not chosen:
+            return self._refer_elsewhere(
+                caller, reason=decisions.CutOffReason.ISOLATED
+            )
+        return decisions.Answer(
+            entries=tuple(state.describe() for state in chosen),
+            lifetime_s=self._settings.lifetime_s,
+        )
+
+    def _rank(self, states, caller):
+        """Return states, those of the caller's data centre first."""
+        ranked = ranking.rank_entries(states, identity=caller.identity)
+        near = caller.data_centre
+        if near is None:
+            return ranked
+        overloaded = min(self._settings.load_weights)
+
+        def is_far(state):
+            return state.data_centre != near or state.weight <= overloaded
+
+        return sorted(ranked, key=is_far)
+
+    def _refer_elsewhere(self, caller, *, reason):
+        others = [
+            state
+            for state in self._states_by_id.values()
+            if self._is_usable(state) and state.entry_id != self._entry_id
+        ]
+        ranked = ranking.rank_entries(others, identity=caller.identity)
+        # Entries of this data centre are likely to be cut off as well.
+        ranked.sort(key=lambda state: state.data_centre == self._data_centre)
+        chosen = ranked[: self._settings.addresses_count]
+        return decisions.CutOff(
+            reason=reason,
+            alternatives=tuple(state.describe() for state in chosen),
+            retry_after_s=self._settings.retry_after_s,
+        )
+
+    def _is_usable(self, state):
+        return not state.leaving and state.data_centre not in self._out
+
+    def _is_heard(self, state, *, now_s):
+        if state.entry_id == self._entry_id:
+            return True
+        return self._contacts.counts_as_heard(state.heard_at_s, now_s=now_s)
+
+    def _judge(self, *, now_s):
+        peers = [
+            state
+            for state in self._states_by_id.values()
+            if state.entry_id != self._entry_id
+        ]
+        heard = sum(self._is_heard(state, now_s=now_s) for state in peers)
+        return self._contacts.judge(
+            peers_heard=heard, peers_expected=len(peers), now_s=now_s
+        )
+
+    @functools.singledispatchmethod
+    def apply(self, event, *, now_s):
+        """Take an event; return the decisions that follow from it."""
+        raise exceptions.UnknownEvent(event=event)
+
+    @apply.register
+    def _(self, event: events.EntrySeen, *, now_s):
+        self._forget_ended(now_s=now_s)
+        known = self._states_by_id.get(event.entry_id)
+        ended = self._ended_by_id.get(event.entry_id)
+        if ended is not None and event.incarnation <= ended[0]:
+            return _reject(event, decisions.RejectionReason.OLD_INCARNATION)
+        if known is not None and event.incarnation < known.incarnation:
+            return _reject(event, decisions.RejectionReason.OLD_INCARNATION)
+        if known is None or event.incarnation > known.incarnation:
+            self._states_by_id[event.entry_id] = entries.EntryState(
+                seen=event, settings=self._settings
+            )
+        return ()
+
+    @apply.register
+    def _(self, event: events.EntryLeaving, *, now_s):
+        state, rejection = self._find(event)
+        if state is not None:
+            state.leaving = True
+        return rejection
+
+    @apply.register
+    def _(self, event: events.EntryGone, *, now_s):
+        state, rejection = self._find(event)
+        if state is not None:
+            until_s = now_s + self._settings.tombstone_lifetime_s
+            self._ended_by_id[event.entry_id] = (state.incarnation, until_s)
+            del self._states_by_id[event.entry_id]
+        return rejection
+
+    @apply.register
+    def _(self, event: events.EntryHeard, *, now_s):
+        state, rejection = self._find(event)
+        if state is None:
+            return rejection
+        reason = state.hear(event, now_s=now_s)
+        if reason is not None:
+            return _reject(event, reason)
+        return ()
+
+    @apply.register
+    def _(self, event: events.DataCentreOut, *, now_s):
+        self._out.add(event.data_centre)
+        return ()
+
+    @apply.register
+    def _(self, event: events.DataCentreIn, *, now_s):
+        self._out.discard(event.data_centre)
+        return ()
+
+    @apply.register
+    def _(self, event: events.TargetsHeard, *, now_s):
+        self._contacts.hear_targets(event, now_s=now_s)
+        return ()
+
+    @apply.register
+    def _(self, event: events.Ticked, *, now_s):
+        self._contacts.tick(now_s=now_s)
+        reason = self._judge(now_s=now_s)
+        if reason is self._cut_off:
+            return ()
+        self._cut_off = reason
+        return (decisions.ContactChanged(reason=reason),)
+
+    @apply.register
+    def _(self, event: events.DrainStarted, *, now_s):
+        own = self._states_by_id.get(self._entry_id)
+        if own is not None:
+            own.leaving = True
+        # Other entries name this one until they have heard of its leaving,
+        # which outlasts each answer that this one has given.
+        complete_s = (
+            now_s
+            + self._settings.notice_delay_s
+            + self._settings.lifetime_s
+            + self._settings.drain_margin_s
+        )
+        return (decisions.DrainPlanned(drain_complete_at_s=complete_s),)
+
+    def _find(self, event):
+        state = self._states_by_id.get(event.entry_id)
+        if state is None:
+            reason = decisions.RejectionReason.UNKNOWN_ENTRY
+        elif event.incarnation < state.incarnation:
+            reason = decisions.RejectionReason.OLD_INCARNATION
+        elif event.incarnation > state.incarnation:
+            reason = decisions.RejectionReason.UNKNOWN_INCARNATION
+        else:
+            return state, ()
+        return None, _reject(event, reason)
+
+    def _forget_ended(self, *, now_s):
+        for entry_id, (_, until_s) in tuple(self._ended_by_id.items()):
+            if until_s > now_s:
+                break
+            del self._ended_by_id[entry_id]
+
+
+def _reject(event, reason):
+    return (
+        decisions.EventRejected(
+            event_name=type(event).__name__,
+            entry_id=event.entry_id,
+            reason=reason,
+        ),
+    )
--- /dev/null
+++ b/packages/savoryyoke/savoryyoke/directory/events.py
@@ -0,0 +1,78 @@
+"""Define what a directory learns, one class for each event."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class EntrySeen:
+    """Report an entry of the fleet.
+
+    ``incarnation`` grows each time the entry's process starts.
+    """
+
+    entry_id: str
+    incarnation: int
+    data_centre: str
+    address: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class EntryLeaving:
+    """Report that an entry must get no new callers."""
+
+    entry_id: str
+    incarnation: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class EntryGone:
+    """Report that an incarnation of an entry has ended."""
+
+    entry_id: str
+    incarnation: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class EntryHeard:
+    """Report a message from an entry, with its load.
+
+    ``load`` is the used share of the entry's capacity; ``stamp_s`` is read
+    from the sender's monotonic clock and orders its messages.
+    """
+
+    entry_id: str
+    incarnation: int
+    stamp_s: float
+    load: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class DataCentreOut:
+    """Report that operators took a data centre out."""
+
+    data_centre: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class DataCentreIn:
+    """Report that operators brought a data centre back."""
+
+    data_centre: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class TargetsHeard:
+    """Report how many of the connected targets were heard lately."""
+
+    heard: int
+    expected: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Ticked:
+    """Report that time has passed; expected twice a second or more."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class DrainStarted:
+    """Report that this entry is about to stop."""
--- a/packages/savoryyoke/savoryyoke/routing/targets.py
+++ b/packages/savoryyoke/savoryyoke/routing/targets.py
@@ -4,6 +4,7 @@
 
 from savoryyoke.routing import checks
 from savoryyoke.routing import events
+from savoryyoke.routing import lateness
 from savoryyoke.routing import utils
 
 
@@ -22,6 +23,7 @@
         self.report = None
         self.received_at_s = 0.0
         self.last_stamp_s = None
+        self._lateness = lateness.LatenessEstimator()
         self.own_calls = 0
         self.sharers_count = 0
         self.position = None
@@ -53,8 +55,10 @@
             self._window = 1
         self.report = report
         self.last_stamp_s = report.stamp_s
-        self.received_at_s = now_s
-        self._settle_reflected(now_s=now_s)
+        # A process that wakes from a pause reads reports of long ago.
+        late_s = self._lateness.add(stamp_s=report.stamp_s, now_s=now_s)
+        self.received_at_s = now_s - late_s
+        self._settle_reflected(now_s=self.received_at_s)
         return None
 
     def _settle_reflected(self, *, now_s):
--- a/packages/savoryyoke/tests/routing/test_router.py
+++ b/packages/savoryyoke/tests/routing/test_router.py
@@ -122,6 +122,21 @@
         self.assertGreater(fresh['target-3'], 100)
         self.assertLess(old['target-3'], 60)
 
+    def test_report_read_late_counts_as_old(self):
+        """Discount a report that waited while the entry was paused."""
+        routed = support.make_router(random_candidates=6)
+        support.warm(routed, running=8)
+        for number in range(12):
+            late = number == 3
+            report = support.make_report(
+                number,
+                stamp_s=101.0 if late else 160.0,
+                running=0 if late else 8,
+            )
+            routed.apply(report, now_s=60.0)
+        chosen = choose_many(routed, count=300, now_s=60.0)
+        self.assertLess(chosen['target-3'], 60)
+
     def test_straggler_is_avoided_and_tried_again(self):
         """Avoid a slow target, and forget its slowness in time."""
         routed = support.make_router()
