Answer each message of a keyed attempt exactly once

Cause: a ledger that detached an attempt on its seal never answered the message that had waited, so that its process kept the message for ever. Change: the message that waited is answered together with the seal, and expired attempts are answered when they make room. TargetUnreachable names the heir as Redirected does. Schedules: python -m unittest discover -s tests/calls -t . passes.

--- a/packages/savoryyoke/savoryyoke/calls/attempts/events.py
+++ b/packages/savoryyoke/savoryyoke/calls/attempts/events.py
@@ -30,11 +30,11 @@
 class TargetUnreachable:
     """Report that the target of message ``number`` can't answer it.
 
-    ``heir_id`` is the target that answers instead, when one is known.
+    ``heir`` is the process that answers instead, when one is known.
     """
 
     number: int
-    heir_id: str | None = None
+    heir: snapshots.Heir | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/savoryyoke/savoryyoke/calls/attempts/machine.py
+++ b/packages/savoryyoke/savoryyoke/calls/attempts/machine.py
@@ -97,14 +97,15 @@
     def _(self, event: events.Redirected, *, now_s):
         if self._is_stale(event):
             return ()
-        return self._follow(event.number, event.heir.target_id, now_s)
+        return self._follow(event, now_s)
 
     @apply.register
     def _(self, event: events.TargetUnreachable, *, now_s):
         if self._is_stale(event):
             return ()
-        if event.heir_id not in (None, self._target_id):
-            return self._follow(event.number, event.heir_id, now_s)
+        heir = event.heir
+        if heir is not None and heir.target_id != self._target_id:
+            return self._follow(event, now_s)
         return self._deliver_doubt(_MayHaveRunReason.TARGET_UNREACHABLE)
 
     @apply.register
@@ -155,12 +156,12 @@
             )
         return (decisions.Send(target_id=self._target_id, message=message),)
 
-    def _follow(self, number, target_id, now_s):
-        del self._sent_s_by_number[number]
+    def _follow(self, event, now_s):
+        del self._sent_s_by_number[event.number]
         self._redirect_count += 1
         if self._redirect_count > self._limits.redirect_limit:
             return self._deliver_doubt(_MayHaveRunReason.REDIRECT_LIMIT)
-        self._target_id = target_id
+        self._target_id = event.heir.target_id
         return self._send(now_s)
 
     def _confirm_not_run(self, event, now_s):
--- a/packages/savoryyoke/savoryyoke/calls/ledger/authority.py
+++ b/packages/savoryyoke/savoryyoke/calls/ledger/authority.py
@@ -22,7 +22,8 @@
     """Hold the sole authority over the keys bound to one process.
 
     ``apply`` takes an event and the monotonic time and returns a tuple of
-    decisions. ``incarnation`` is a random 64-bit number made when the
+    decisions. Each message of an attempt is answered once, now or later.
+    ``incarnation`` is a random 64-bit number made when the
     process starts, at ``started_s``.
     """
 
@@ -222,7 +223,8 @@
             book.source_lost = True
             for record in book.records():
                 if record.phase is _Phase.ELSEWHERE:
-                    made.extend(responses.respond_all(record, outcome))
+                    waiters = record.take_waiters()
+                    made.extend(responses.respond_all(waiters, outcome))
         return tuple(made)
 
     def _settle_early(self, book, event):
--- a/packages/savoryyoke/savoryyoke/calls/ledger/records.py
+++ b/packages/savoryyoke/savoryyoke/calls/ledger/records.py
@@ -64,22 +64,34 @@
         )
 
     def detach(self, *, attempt_id):
-        """Let an attempt wait no longer, if it did."""
-        if self.waiters_by_attempt is not None:
-            self.waiters_by_attempt.pop(attempt_id, None)
+        """Let an attempt wait no longer; return what waited, by attempt."""
+        waiters = self.waiters_by_attempt or {}
+        if attempt_id not in waiters:
+            return {}
+        return {attempt_id: waiters.pop(attempt_id)}
 
     def detach_expired(self, *, now_s):
-        """Drop the attempts whose deadline has passed."""
-        self.waiters_by_attempt = {
+        """Drop and return the attempts whose deadline has passed."""
+        waiters = self.waiters_by_attempt or {}
+        expired = {
             attempt_id: waiter
-            for attempt_id, waiter in (self.waiters_by_attempt or {}).items()
-            if waiter.expires_s > now_s
+            for attempt_id, waiter in waiters.items()
+            if waiter.expires_s <= now_s
         }
+        for attempt_id in expired:
+            del waiters[attempt_id]
+        return expired
+
+    def is_wanted(self, *, now_s, by=None):
+        """Return whether an attempt waits whose deadline has not passed.
 
-    def is_wanted(self, *, now_s):
-        """Return whether an attempt waits whose deadline has not passed."""
-        waiters = (self.waiters_by_attempt or {}).values()
-        return any(waiter.expires_s > now_s for waiter in waiters)
+        Only the attempts ``by`` count, unless it is None.
+        """
+        waiters = self.waiters_by_attempt or {}
+        return any(
+            waiters[attempt_id].expires_s > now_s
+            for attempt_id in (waiters if by is None else by)
+        )
 
     def take_waiters(self):
         """Return the waiting attempts and forget them."""
--- a/packages/savoryyoke/savoryyoke/calls/ledger/responses.py
+++ b/packages/savoryyoke/savoryyoke/calls/ledger/responses.py
@@ -46,13 +46,13 @@
     return (respond(event, outcomes.Rejected(reason=reason)),)
 
 
-def respond_all(record, outcome):
-    """Return responses to all attempts that wait for ``record``."""
+def respond_all(waiters_by_attempt, outcome):
+    """Return responses to attempts that waited for one call."""
     return tuple(
         decisions.Respond(
             attempt_id=attempt_id, number=waiter.number, outcome=outcome
         )
-        for attempt_id, waiter in record.take_waiters().items()
+        for attempt_id, waiter in waiters_by_attempt.items()
     )
 
 
--- a/packages/savoryyoke/savoryyoke/calls/ledger/rules.py
+++ b/packages/savoryyoke/savoryyoke/calls/ledger/rules.py
@@ -41,18 +41,20 @@
         """Let the attempt wait for a call in progress."""
         waiters = record.waiters_by_attempt or {}
         limit = self._limits.attempts_per_key_limit
+        made = ()
         if event.attempt_id not in waiters and len(waiters) >= limit:
-            record.detach_expired(now_s=now_s)
-            if len(record.waiters_by_attempt) >= limit:
-                return responses.doubt(
-                    event, _MayHaveRunReason.TOO_MANY_ATTEMPTS
-                )
+            made = responses.respond_all(
+                record.detach_expired(now_s=now_s),
+                responses.lost(_MayHaveRunReason.DEADLINE),
+            )
+        if event.attempt_id not in waiters and len(waiters) >= limit:
+            return responses.doubt(event, _MayHaveRunReason.TOO_MANY_ATTEMPTS)
         record.attach(
             attempt_id=event.attempt_id,
             number=event.number,
             expires_s=now_s + event.remaining_s,
         )
-        return ()
+        return made
 
     def seal(self, book, event, *, now_s):
         """Close the key if it has not run, for a call not in progress."""
@@ -65,16 +67,15 @@
         if record.phase is _Phase.SEALED:
             return self._seal(record, event, _NotRunReason.SEALED, now_s)
         if record.phase is _Phase.ELSEWHERE:
-            record.detach(attempt_id=event.attempt_id)
-            return responses.doubt(event, _MayHaveRunReason.IN_PROGRESS)
+            return self._detach_in_doubt(record, event)
         return (responses.respond(event, responses.repeat(record)),)
 
     def withdraw(self, record, event, *, now_s):
         """Detach the attempt; abandon a queued call that no other wants."""
-        record.detach(attempt_id=event.attempt_id)
-        wanted = record.is_wanted(now_s=now_s)
+        others = (record.waiters_by_attempt or {}).keys() - {event.attempt_id}
+        wanted = record.is_wanted(now_s=now_s, by=others)
         if record.phase is _Phase.HANDED_OVER or wanted:
-            return responses.doubt(event, _MayHaveRunReason.IN_PROGRESS)
+            return self._detach_in_doubt(record, event)
         made = self.end_unrun(record, _NotRunReason.SEALED, now_s=now_s)
         outcome = self._not_run(_NotRunReason.SEALED)
         return (
@@ -133,6 +134,14 @@
         record.status = copy.status
         return self._end(record, responses.repeat(record))
 
+    def _detach_in_doubt(self, record, event):
+        waiters = record.detach(attempt_id=event.attempt_id)
+        outcome = responses.lost(_MayHaveRunReason.IN_PROGRESS)
+        return (
+            responses.respond(event, outcome),
+            *responses.respond_all(waiters, outcome),
+        )
+
     def _offer_elsewhere(self, record, event, now_s):
         if record.book.source_lost:
             return responses.doubt(event, _MayHaveRunReason.APPLICATION_LOST)
@@ -222,6 +231,6 @@
         )
 
     def _end(self, record, outcome):
-        made = responses.respond_all(record, outcome)
+        made = responses.respond_all(record.take_waiters(), outcome)
         answer = outcome.answer if isinstance(outcome, outcomes.Ran) else None
         return (*made, *self._handover.transfer(record, answer=answer))
--- a/packages/savoryyoke/tests/calls/world.py
+++ b/packages/savoryyoke/tests/calls/world.py
@@ -341,7 +341,10 @@
             return
         sent = message.payload
         unreachable = attempt_events.TargetUnreachable(
-            number=sent.number, heir_id=entry.routes.find_target(sent.key)
+            number=sent.number,
+            heir=snapshots.Heir(
+                target_id=entry.routes.find_target(sent.key), incarnation=0
+            ),
         )
         self._send('', message.source, (sent.attempt_id, unreachable))
 
