--- /dev/null
+++ b/packages/savoryyoke/savoryyoke/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Decide which processes of the fleet are alive."""
--- /dev/null
+++ b/packages/savoryyoke/savoryyoke/membership/sizes.py
@@ -0,0 +1,36 @@
+"""Estimate the size of messages on the wire, in bytes.
+
+The figures assume packed Cap'n Proto over UDP and IPv4 and err upwards;
+``tools.measure.membership`` compares them with the codec.
+"""
+
+DATAGRAM_BYTES = 28
+MESSAGE_BYTES = 48
+UPDATE_BYTES = 34
+VERSION_BYTES = 24
+ATTACHMENT_BYTES = 16
+
+
+def update_bytes(update):
+    """Return the estimated size of one update."""
+    return (
+        UPDATE_BYTES
+        + len(update.vm_id)
+        + len(update.role)
+        + len(update.data_centre)
+        + len(update.address)
+    )
+
+
+def message_bytes(message):
+    """Return the estimated size of one datagram with its headers."""
+    size = DATAGRAM_BYTES + MESSAGE_BYTES + len(message.sender_id)
+    size += len(getattr(message, 'subject_id', ''))
+    size += len(getattr(message, 'subject_address', ''))
+    size += sum(update_bytes(update) for update in message.updates)
+    for version in message.versions:
+        size += VERSION_BYTES + len(version.name)
+    for attachment in message.attachments:
+        size += ATTACHMENT_BYTES + len(attachment.name)
+        size += len(attachment.content)
+    return size
--- /dev/null
+++ b/packages/savoryyoke/tests/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Test the membership package."""
