Offer calls after a pause instead of only closing them

Ruled out: a shorter doubt, which would admit requests that waited unseen. Change: it offers with no stamp of its own; the ledger then bounds the arrival by the start of the key's window, which is always before it. A key that was sealed since stays refused, a first call runs.

--- a/packages/savoryyoke/savoryyoke/calls/attempts/machine.py
+++ b/packages/savoryyoke/savoryyoke/calls/attempts/machine.py
@@ -23,8 +23,9 @@
     """Hold one attempt from the caller's request to the one answer.
 
     ``stamp_ms`` is the newest stamp of the key's incarnation that the entry
-    held when the request arrived, in doubt (``is_doubtful``) if the entry
-    may have been paused since. ``wakes_s`` is the time of the next tick.
+    held when the request was read; ``is_doubtful`` says that the request may
+    have arrived before a pause of the entry. ``wakes_s`` is the time of the
+    next tick.
     """
 
     def __init__(
@@ -44,12 +45,8 @@
         self.key = key
         self.fingerprint = fingerprint
         self._target_id = target_id
-        # A pause too short to be detected must not make the stamp newer
-        # than the request's arrival.
-        threshold_ms = limits.pause_threshold_s * conf.MILLISECONDS_PER_SECOND
-        self._stamp_ms = stamp_ms - int(threshold_ms)
+        self._stamp_ms = _find_surely_held_ms(stamp_ms, is_doubtful, limits)
         self._deadline_s = deadline_s
-        self._is_doubtful = is_doubtful
         self._carried = carried
         self._limits = limits
         self._phase = _Phase.OFFERING
@@ -73,8 +70,6 @@
 
     @apply.register
     def _(self, event: events.Started, *, now_s):
-        if self._is_doubtful:
-            self._phase = _Phase.SEALING
         return self._send(now_s)
 
     @apply.register
@@ -185,3 +180,16 @@
     def _deliver(self, outcome):
         self._phase = _Phase.ENDED
         return (decisions.Deliver(outcome=outcome),)
+
+
+def _find_surely_held_ms(stamp_ms, is_doubtful, limits):
+    """Return a stamp from before the request's true arrival, in ms.
+
+    After a pause the stamps held may all be newer than the arrival; then
+    only the window of the key bounds it, which the ledger looks at itself.
+    Pauses too short to be detected are allowed for.
+    """
+    if is_doubtful:
+        return 0
+    threshold_ms = limits.pause_threshold_s * conf.MILLISECONDS_PER_SECOND
+    return max(0, stamp_ms - int(threshold_ms))
--- a/packages/savoryyoke/savoryyoke/calls/ledger/snapshots.py
+++ b/packages/savoryyoke/savoryyoke/calls/ledger/snapshots.py
@@ -43,7 +43,7 @@
     record_floor: int
     seal_floor_ms: int
     confirmed: bool
-    records: tuple
+    records: tuple[RecordCopy, ...]
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -57,7 +57,7 @@
     heir: Heir
     source_incarnation: int
     export_number: int
-    books: tuple
+    books: tuple[BookCopy, ...]
 
 
 def copy_record(record, *, answer):
--- a/packages/savoryyoke/savoryyoke/calls/outcomes.py
+++ b/packages/savoryyoke/savoryyoke/calls/outcomes.py
@@ -58,7 +58,7 @@
     """Hold the application's whole answer."""
 
     status: int
-    headers: tuple = ()
+    headers: tuple[tuple[str, str], ...] = ()
     body: bytes = b''
 
     @property
