Hand the ledger of a leaving target to an heir over the wire

Cause: a planned stop lost the records of its payments, so repeats heard 'may have run' and fresh keys were lost with the process. Ruled out: a copy of each record to a peer before the run (a replicated store in all but name, and a round trip for each payment). Change: the draining target exports its ledger to a sibling, names it to the entries, passes on what was in progress, and leaves; entries keep routes from the ledger's stamps.

--- a/packages/savoryyoke-entry/savoryyoke_entry/__main__.py
+++ b/packages/savoryyoke-entry/savoryyoke_entry/__main__.py
@@ -2,20 +2,21 @@
 
 import sys
 
-from savoryyoke_edge import command_line
+from savoryyoke_edge.command_line import commands
+from savoryyoke_edge.command_line import runner
 from savoryyoke_edge.settings import schema
 
 PROGRAM = 'savoryyoke'
 _PACKAGE = 'savoryyoke_entry.commands'
 
 COMMANDS = (
-    command_line.Command(
+    commands.Command(
         name='run',
         module=f'{_PACKAGE}.run',
         settings=schema.EntrySettings,
     ),
     *(
-        command_line.Command(name=name, module=f'{_PACKAGE}.{name}')
+        commands.Command(name=name, module=f'{_PACKAGE}.{name}')
         for name in ('check', 'render', 'diff', 'explain', 'status', 'drain')
     ),
 )
@@ -23,7 +24,7 @@
 
 def main():
     """Run the command that the command line names."""
-    sys.exit(command_line.main(program=PROGRAM, commands=COMMANDS))
+    sys.exit(runner.main(program=PROGRAM, commands=COMMANDS))
 
 
 if __name__ == '__main__':
--- /dev/null
+++ b/packages/savoryyoke-entry/savoryyoke_entry/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of the binary savoryyoke, one module for each."""
--- a/packages/savoryyoke-entry/savoryyoke_entry/fleet.py
+++ b/packages/savoryyoke-entry/savoryyoke_entry/fleet.py
@@ -5,6 +5,9 @@
 import anyio
 import numpy
 
+from savoryyoke.calls import conf as calls_conf
+from savoryyoke.calls.ledger import snapshots
+from savoryyoke.calls import routes
 from savoryyoke.configuration import schema as configuration_schema
 from savoryyoke.retries import aggregates as retry_aggregates
 from savoryyoke.retries import conf as retry_conf
@@ -14,7 +17,6 @@
 from savoryyoke_edge.settings import addresses
 from savoryyoke_entry import exceptions
 from savoryyoke_entry import links
-from savoryyoke_entry import stamps
 from savoryyoke_wire import messages
 
 
@@ -74,7 +76,7 @@
         self._rows_by_target_id = {}
         self._generations_by_target_id = {}
         self._services_by_name = {}
-        self.stamps = stamps.StampBook()
+        self.routes = routes.Routes(limits=calls_conf.AttemptLimits())
 
     @property
     def services(self):
@@ -109,7 +111,7 @@
             link = self._links_by_target_id.get(offer.target_id)
             if link is None or link.peer is None:
                 continue
-            binding = self.stamps.bind(
+            binding = self.routes.make_binding(
                 service=service_name,
                 target_id=offer.target_id,
                 incarnation=link.peer.incarnation,
@@ -245,10 +247,23 @@
             case messages.Load():
                 self._take_load(link, message)
             case messages.HeirNamed():
-                self.stamps.take(message.stamps)
+                self._follow_heir(message)
+
+    def _follow_heir(self, named):
+        heir = snapshots.Heir(
+            target_id=named.heir_target_id,
+            incarnation=named.heir_incarnation,
+        )
+        for stamp in named.stamps:
+            self.routes.follow(
+                incarnation=stamp.incarnation,
+                heir=heir,
+                stamp_ms=stamp.stamp_ms,
+            )
 
     def _take_load(self, link, load):
-        self.stamps.take(load.stamps)
+        for stamp in load.stamps:
+            self.routes.hear(stamp)
         row = self._rows_by_target_id.get(link.target_id)
         if row is None:
             return
--- a/packages/savoryyoke-entry/savoryyoke_entry/keyed.py
+++ b/packages/savoryyoke-entry/savoryyoke_entry/keyed.py
@@ -69,8 +69,7 @@
         return await send_outcome(self._outcome, self._caller)
 
     def _build_attempt(self, key):
-        stamp = self._fleet.stamps.get(key.incarnation)
-        target_id = stamp.target_id if stamp else key.target_id
+        target_id = self._fleet.routes.find_target(key)
         logs.write_event(
             'target_bound',
             call=self._attempt_id,
@@ -85,7 +84,7 @@
             key=key,
             fingerprint=self._request.fingerprint,
             target_id=target_id,
-            stamp_ms=stamp.stamp_ms if stamp else 0,
+            stamp_ms=self._fleet.routes.find_stamp_ms(key),
             deadline_s=self._request.deadline_s,
             is_doubtful=self._doubtful,
             carried=self._carried,
@@ -155,12 +154,11 @@
         self._changed.set()
 
     def _find_heir(self):
-        stamp = self._fleet.stamps.get(self._attempt.key.incarnation)
-        if stamp is None:
+        key = self._attempt.key
+        target_id = self._fleet.routes.find_target(key)
+        if target_id == key.target_id:
             return None
-        return snapshots.Heir(
-            target_id=stamp.target_id, incarnation=stamp.incarnation
-        )
+        return snapshots.Heir(target_id=target_id, incarnation=key.incarnation)
 
     async def _receive(self, channel, number):
         head = None
@@ -200,6 +198,11 @@
             target_id=redirect.heir_target_id,
             incarnation=redirect.heir_incarnation,
         )
+        self._fleet.routes.follow(
+            incarnation=self._attempt.key.incarnation,
+            heir=heir,
+            stamp_ms=redirect.stamp_ms,
+        )
         self._feed(attempt_events.Redirected(number=number, heir=heir))
         self._changed.set()
 
--- a/packages/savoryyoke-target/savoryyoke_target/__main__.py
+++ b/packages/savoryyoke-target/savoryyoke_target/__main__.py
@@ -2,13 +2,14 @@
 
 import sys
 
-from savoryyoke_edge import command_line
+from savoryyoke_edge.command_line import commands
+from savoryyoke_edge.command_line import runner
 from savoryyoke_edge.settings import schema
 
 PROGRAM = 'savoryyoke-target'
 
 COMMANDS = (
-    command_line.Command(
+    commands.Command(
         name='run',
         module='savoryyoke_target.commands.run',
         settings=schema.TargetSettings,
@@ -18,7 +19,7 @@
 
 def main():
     """Run the command that the command line names."""
-    sys.exit(command_line.main(program=PROGRAM, commands=COMMANDS))
+    sys.exit(runner.main(program=PROGRAM, commands=COMMANDS))
 
 
 if __name__ == '__main__':
--- a/packages/savoryyoke-target/savoryyoke_target/daemon.py
+++ b/packages/savoryyoke-target/savoryyoke_target/daemon.py
@@ -21,6 +21,7 @@
 from savoryyoke_edge import servers
 from savoryyoke_target import backends
 from savoryyoke_target import conf
+from savoryyoke_target import departures
 from savoryyoke_target import dispatcher
 from savoryyoke_target import keyed_calls
 from savoryyoke_target import metrics
@@ -51,6 +52,8 @@
         self._dispatcher = None
         self._keyed_calls = None
         self._configuration = None
+        self._vm_list = None
+        self._reader = platform.PlatformReader(url=settings.platform_url)
 
     @property
     def ready(self):
@@ -120,7 +123,7 @@
         )
         self._keyed_calls.attach(self._dispatcher.feed_admission)
         self._configuration = configurations.ConfigurationWatch(
-            reader=platform.PlatformReader(url=self._settings.platform_url),
+            reader=self._reader,
             site=self._settings.site,
             clock=self._clock,
             on_applied=self._apply_configuration,
@@ -148,14 +151,14 @@
         )
         self._announce(listener, admin_socket)
         tasks.start_soon(self._configuration.run)
+        tasks.start_soon(self._watch_vms)
         tasks.start_soon(self._tick)
         tasks.start_soon(self._report_load)
         tasks.start_soon(self._watch_signals)
         tasks.start_soon(self._accept, listener)
         tasks.start_soon(_serve_admin, admin_server, admin_socket)
         await self._drain_requested.wait()
-        await self._drain()
-        await listener.aclose()
+        await self._drain(tasks)
         admin_server.should_exit = True
 
     def _announce(self, listener, admin_socket):
@@ -262,9 +265,7 @@
             self._send_load()
 
     def _send_load(self):
-        load = self._build_load()
-        for session in self._sessions_by_number.values():
-            session.send(load)
+        self._broadcast(self._build_load())
 
     async def _tick(self):
         while True:
@@ -280,14 +281,29 @@
                 logs.write_event('signal_received', signal=received.name)
                 self.start_drain()
 
-    async def _drain(self):
+    async def _watch_vms(self):
+        """Remember who could be the heir, in case the platform goes down."""
+        while True:
+            try:
+                self._vm_list = await self._reader.read_vms()
+            except edge_exceptions.PlatformUnavailable as error:
+                logs.write_event(
+                    'vm_list_refused', level='warning', reason=str(error)
+                )
+            await anyio.sleep(conf.VM_LIST_PERIOD_S)
+
+    async def _drain(self, tasks):
         """Take no new work, finish what runs, then return."""
         self._draining = True
         logs.write_event('drain_started', target=self._settings.target_id)
         self._send_load()
+        await self._depart(tasks)
+        with anyio.move_on_after(conf.KEYED_DRAIN_S):
+            while self._keyed_calls.unfinished:
+                await anyio.sleep(DRAIN_POLL_S)
         self._dispatcher.feed_admission(admission_events.DrainStarted())
         with anyio.move_on_after(self._settings.drain_timeout_s):
-            while self._dispatcher.unfinished:
+            while self._is_busy():
                 await anyio.sleep(DRAIN_POLL_S)
         logs.write_event(
             'drain_finished',
@@ -295,6 +311,42 @@
             unfinished=self._dispatcher.unfinished,
         )
 
+    def _is_busy(self):
+        """Tell whether a call runs or the heir still waits for a record."""
+        return self._dispatcher.unfinished or self._ledger.in_progress_count
+
+    async def _depart(self, tasks):
+        departure = departures.Departure(
+            target_id=self._settings.target_id,
+            hello=self._build_hello(),
+            tasks=tasks,
+            feed=self._keyed_calls.feed,
+            broadcast=self._broadcast,
+        )
+        self._keyed_calls.start_departure(departure)
+        await departure.run(await self._find_heirs())
+
+    async def _find_heirs(self):
+        with anyio.move_on_after(conf.HEIR_CONNECT_TIMEOUT_S):
+            try:
+                self._vm_list = await self._reader.read_vms()
+            except edge_exceptions.PlatformUnavailable:
+                logs.write_event('vm_list_old', level='warning')
+        if self._vm_list is None:
+            return ()
+        return tuple(
+            row
+            for row in self._vm_list.vms
+            if row.role == 'target'
+            and row.service == self._settings.service
+            and row.state == 'live'
+            and row.vm_id != self._settings.vm_id
+        )
+
+    def _broadcast(self, message):
+        for session in self._sessions_by_number.values():
+            session.send(message)
+
 
 async def _serve_admin(server, listener):
     await server.serve(sockets=[listener])
--- a/packages/savoryyoke-target/savoryyoke_target/exceptions.py
+++ b/packages/savoryyoke-target/savoryyoke_target/exceptions.py
@@ -15,3 +15,7 @@
 
 class AnswerLost(BackendError):
     """Report a call that was sent and whose answer did not arrive whole."""
+
+
+class SnapshotInvalid(TargetError):
+    """Report bytes that are not what a leaving process hands over."""
--- a/packages/savoryyoke-target/savoryyoke_target/keyed_calls.py
+++ b/packages/savoryyoke-target/savoryyoke_target/keyed_calls.py
@@ -13,6 +13,7 @@
 from savoryyoke_target import arrivals
 from savoryyoke_target import conf
 from savoryyoke_target import exceptions
+from savoryyoke_target import inheritance
 from savoryyoke_target import responses
 from savoryyoke_target import sessions
 from savoryyoke_wire import messages
@@ -42,11 +43,17 @@
         self._running_ids = set()
         self._offered = None
         self._feed_admission = None
+        self._inheritance = inheritance.Inheritance()
+        self._departure = None
 
     def attach(self, feed_admission):
         """Set how to pass events to admission."""
         self._feed_admission = feed_admission
 
+    def start_departure(self, departure):
+        """Pass the decisions of a planned stop to ``departure``."""
+        self._departure = departure
+
     @property
     def unfinished(self):
         """Return how many attempts have no answer yet."""
@@ -102,6 +109,13 @@
         ]
         for message in gone:
             del self._attempts_by_message[message]
+        for event in self._inheritance.end_session(session):
+            self.feed(event)
+
+    def receive(self, session, message):
+        """Take a message about the ledger of another target process."""
+        for event in self._inheritance.receive(session, message):
+            self.feed(event)
 
     def tick(self):
         """Let the ledger notice the time."""
@@ -160,6 +174,24 @@
         if attempt is not None:
             responses.send_outcome(attempt, decision.outcome)
 
+    @_carry_out.register
+    def _(self, decision: ledger_decisions.Redirect):
+        message = (decision.attempt_id, decision.number)
+        attempt = self._attempts_by_message.pop(message, None)
+        if attempt is not None:
+            responses.send_redirect(attempt, decision)
+
+    @_carry_out.register(ledger_decisions.AcknowledgeImport)
+    @_carry_out.register(ledger_decisions.RefuseImport)
+    def _(self, decision):
+        self._inheritance.answer(decision)
+
+    @_carry_out.register(ledger_decisions.ExportSnapshot)
+    @_carry_out.register(ledger_decisions.NameHeir)
+    @_carry_out.register(ledger_decisions.TransferRecord)
+    def _(self, decision):
+        self._departure.carry_out(decision)
+
     def _is_running(self, call_id):
         return call_id in self._running_ids
 
--- a/packages/savoryyoke-target/savoryyoke_target/responses.py
+++ b/packages/savoryyoke-target/savoryyoke_target/responses.py
@@ -14,6 +14,18 @@
     _send(outcome, attempt)
 
 
+def send_redirect(attempt, redirect):
+    """Send an entry's message on to the heir."""
+    attempt.session.send(
+        messages.Redirect(
+            call_id=attempt.call_id,
+            heir_target_id=redirect.heir.target_id,
+            heir_incarnation=redirect.heir.incarnation,
+            stamp_ms=redirect.stamp_ms,
+        )
+    )
+
+
 @functools.singledispatch
 def _send(outcome, attempt):
     raise exceptions.TargetError(f'unknown outcome {outcome}')
