Let a cold target grow by its own baseline and learn from falls

Cause: a cold back end was judged by its warm baseline, so that the limit stayed at 1 until it was warm; and one that falls over early was brought down again by each equal ramp.

The change: a cold target gets a baseline of its own; each fall halves the speed of the growth that follows; BackendStopped hands back what waits and refuses arrivals until BackendRestarted.

--- a/packages/savoryyoke/savoryyoke/admission/aggregates.py
+++ b/packages/savoryyoke/savoryyoke/admission/aggregates.py
@@ -42,6 +42,7 @@
         self._running_by_id = {}
         self._expired = []
         self._draining = False
+        self._stopped = False
 
     @property
     def next_expiry_s(self):
@@ -53,7 +54,9 @@
         return decisions.LoadReport(
             running=len(self._running_by_id),
             queued=len(self._queue),
-            concurrency_limit=self._concurrency.in_force,
+            concurrency_limit=(
+                0 if self._stopped else self._concurrency.in_force
+            ),
             cold=self._concurrency.cold,
             draining=self._draining,
             estimated_wait_s=self._wait_s(cost_ahead=self._queue.cost),
@@ -83,8 +86,16 @@
     def _(self, event: events.Ticked, now_s):
         return ()
 
+    @_apply.register
+    def _(self, event: events.BackendStopped, now_s):
+        self._stopped = True
+        if self._running_by_id:
+            self._concurrency.record_fall()
+        return self._hand_back(_Reason.BACKEND_STOPPED)
+
     @_apply.register
     def _(self, event: events.BackendRestarted, now_s):
+        self._stopped = False
         self._concurrency.turn_cold()
         return ()
 
@@ -101,12 +112,8 @@
 
     @_apply.register
     def _(self, event: events.DrainStarted, now_s):
-        # Waiting calls did not run, so another target may run them.
         self._draining = True
-        return tuple(
-            self._refuse_waiting(call_id, _Reason.DRAINING)
-            for call_id in self._queue.call_ids
-        )
+        return self._hand_back(_Reason.DRAINING)
 
     @_apply.register
     def _(self, event: events.DrainEnded, now_s):
@@ -148,6 +155,8 @@
             raise exceptions.DuplicateCall(event.call_id)
         if self._draining:
             return (self._refusal(event.call_id, _Reason.DRAINING),)
+        if self._stopped:
+            return (self._refusal(event.call_id, _Reason.BACKEND_STOPPED),)
         if event.remaining_s <= 0:
             return (self._refusal(event.call_id, _Reason.DEADLINE_PASSED),)
         if self._has_room() and not len(self._queue):
@@ -217,6 +226,8 @@
 
     def _expire(self, now_s):
         expired = self._queue.remove_expired(now_s=now_s)
+        if not expired:
+            return ()
         wait_s = self._wait_s(cost_ahead=self._queue.cost)
         return tuple(
             self._refuse_for_now(call, _Reason.DEADLINE_PASSED, wait_s, now_s)
@@ -229,9 +240,12 @@
         running.aborted = True
         return (decisions.Abort(call_id=call_id),)
 
-    def _refuse_waiting(self, call_id, reason):
-        self._queue.remove(call_id)
-        return self._refusal(call_id, reason)
+    def _hand_back(self, reason):
+        # Waiting calls did not run, so another target may run them.
+        call_ids = self._queue.call_ids
+        for call_id in call_ids:
+            self._queue.remove(call_id)
+        return tuple(self._refusal(call_id, reason) for call_id in call_ids)
 
     def _refuse_for_now(self, call, reason, wait_s, now_s):
         service_s = self._estimate.service_s(cost=call.cost)
--- a/packages/savoryyoke/savoryyoke/admission/decisions.py
+++ b/packages/savoryyoke/savoryyoke/admission/decisions.py
@@ -12,6 +12,7 @@
     DEADLINE_UNREACHABLE = 'deadline_unreachable'
     DEADLINE_PASSED = 'deadline_passed'
     DISPLACED = 'displaced'
+    BACKEND_STOPPED = 'backend_stopped'
     DRAINING = 'draining'
     CANCELLED = 'cancelled'
 
--- a/packages/savoryyoke/savoryyoke/admission/events.py
+++ b/packages/savoryyoke/savoryyoke/admission/events.py
@@ -55,6 +55,14 @@
     """Report that time has passed."""
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class BackendStopped:
+    """Report that the back end is gone; BackendRestarted ends this.
+
+    Running calls still have to be reported as Finished.
+    """
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class BackendRestarted:
     """Report that the back end was restarted and is cold."""
--- a/packages/savoryyoke/savoryyoke/admission/warmup.py
+++ b/packages/savoryyoke/savoryyoke/admission/warmup.py
@@ -18,6 +18,8 @@
         self._service = latency.LatencyBaseline(policy=policy)
         self._first_token = latency.LatencyBaseline(policy=policy)
         self._evidence_s = None
+        self._falls = 0
+        self._successes_since_fall = 0
         self._limit = float(limits.initial_concurrency)
         self.epoch = 0
         self._reset_to_cold()
@@ -42,6 +44,15 @@
         """Fall back to the initial concurrency."""
         self._reset_to_cold()
 
+    def record_fall(self):
+        """Take in that the back end went down under its calls.
+
+        Each fall halves the speed of the growth that follows, or the same
+        ramp would bring the back end down again.
+        """
+        self._falls = min(self._falls + 1, self._policy.most_falls)
+        self._successes_since_fall = 0
+
     def notice_time(self, *, now_s, running):
         """Halve the limit for each idle period without evidence."""
         if self._evidence_s is None or running:
@@ -87,6 +98,9 @@
     def _record_healthy(self, limit_was_used):
         self._healthy += 1
         self._very_slow_epochs = 0
+        self._successes_since_fall += 1
+        if self._successes_since_fall >= self._policy.successes_to_trust:
+            self._falls = 0
         if self._healthy >= self._policy.successes_to_be_warm:
             self._cold = False
         if limit_was_used:
@@ -107,10 +121,12 @@
 
     def _step(self):
         if self._limit >= self._ceiling:
-            return self._policy.ceiling_step / self._limit
-        if self._limit < self._threshold:
-            return self._policy.slow_start_step
-        return self._policy.steady_step / self._limit
+            step = self._policy.ceiling_step / self._limit
+        elif self._limit < self._threshold:
+            step = self._policy.slow_start_step
+        else:
+            step = self._policy.steady_step / self._limit
+        return step / 2**self._falls
 
     def _cut(self, factor):
         # Growth slows down just below the limit that went wrong, or the
@@ -137,6 +153,10 @@
         self._failed_share = 0.0
         self._very_slow_epochs = 0
         self._open_epoch()
+        # Slow as it is at the initial concurrency, a cold back end may
+        # take more calls as long as these do not slow each other down.
+        self._service.restart()
+        self._first_token.restart()
 
     def _open_epoch(self):
         self.epoch += 1
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Run the checks and measurements of the workspace."""
--- /dev/null
+++ b/tools/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measure policies by seeded simulations."""
