Test the shares of the queue and the truth of estimated waits

Cause: the bound on one team's places, the displacement of the longest queue and the estimates that callers are given had no test of their own.

Seen red: no bound on a team's places, no displacement, the estimate above.

--- a/packages/savoryyoke/tests/admission/simulation.py
+++ b/packages/savoryyoke/tests/admission/simulation.py
@@ -21,6 +21,7 @@
         self.arrivals_by_id = {}
         self.started_s_by_id = {}
         self.refusals_by_id = {}
+        self.estimates_s_by_id = {}
         self.limits = []
 
     def schedule(self, *, at_s, event):
@@ -42,14 +43,21 @@
     def waits_s(self, team):
         """Return the sorted waits of a team's started calls."""
         return sorted(
-            started_s - self.arrivals_by_id[call_id][0]
-            for call_id, started_s in self.started_s_by_id.items()
+            self.wait_s(call_id)
+            for call_id in self.started_s_by_id
             if self.arrivals_by_id[call_id][1].team == team
         )
 
+    def wait_s(self, call_id):
+        """Return the wait of a started call."""
+        return self.started_s_by_id[call_id] - self.arrivals_by_id[call_id][0]
+
     def _record(self, decision, now_s):
         if isinstance(decision, decisions.Refuse):
             self.refusals_by_id[decision.call_id] = (now_s, decision)
+        elif isinstance(decision, decisions.Queue):
+            estimated_s = decision.estimated_wait_s
+            self.estimates_s_by_id[decision.call_id] = estimated_s
         elif isinstance(decision, decisions.Start):
             self._start(decision.call_id, now_s)
 
--- a/packages/savoryyoke/tests/admission/test_fairness.py
+++ b/packages/savoryyoke/tests/admission/test_fairness.py
@@ -9,6 +9,7 @@
 
 from savoryyoke.admission import aggregates
 from savoryyoke.admission import conf
+from savoryyoke.admission import decisions
 from savoryyoke.admission import events
 from savoryyoke.admission import queues
 from tests.admission import simulation
@@ -173,3 +174,74 @@
         self.assertEqual(0, refused)
         self.assertLessEqual(burst_s, self._FACTOR * max(calm_s, 0.125))
         self.assertGreater(naive_s, self._FACTOR * max(calm_s, 0.125))
+
+
+class QueueShareTest(unittest.TestCase):
+    """Check how teams share the places of a bounded queue."""
+
+    def setUp(self):
+        """Keep the back end busy."""
+        self.admission = aggregates.Admission(
+            limits=conf.AdmissionLimits(max_concurrency=1, queue_limit=10)
+        )
+        self._queued_after('busy', 1)
+
+    def test_one_team_leaves_half_of_the_places(self):
+        self.assertEqual(5, self._queued_after('large', 50))
+
+    def test_newcomer_displaces_the_longest_queue(self):
+        for number in range(6):
+            self._queued_after(f'team-{number}', 10)
+        before = self.admission.snapshot().queued
+        self.assertEqual(10, before)
+        made = self.admission.apply(_call('new', 'new-0'), now_s=0.0)
+        displaced, queued = made
+        self.assertIs(decisions.RefusalReason.DISPLACED, displaced.reason)
+        self.assertTrue(displaced.call_id.startswith('team-0'))
+        self.assertEqual('new-0', queued.call_id)
+
+    def _queued_after(self, team, calls):
+        for number in range(calls):
+            arrived = _call(team, f'{team}-{number}')
+            self.admission.apply(arrived, now_s=0.0)
+        return self.admission.snapshot().queued
+
+
+class WaitEstimateTest(unittest.TestCase):
+    """Check the estimated waits against what the calls met."""
+
+    def test_most_estimates_are_right_within_a_factor_of_two(self):
+        self.assertGreaterEqual(_share_of_true_estimates(1), 0.8)
+        # Mutant: forgets that calls run side by side.
+        self.assertLess(_share_of_true_estimates(4), 0.8)
+
+
+def _share_of_true_estimates(factor):
+    """Return the share of queued calls with a true estimate."""
+    admission = aggregates.Admission(
+        limits=conf.AdmissionLimits(
+            max_concurrency=4, initial_concurrency=4, queue_limit=400
+        )
+    )
+    sim = simulation.Simulation(
+        admission=admission,
+        service_time_s=lambda call, running, now_s: 0.5 * call.cost,
+    )
+    generator = numpy.random.default_rng(_SEED)
+    for team, rate in (('large', 4.0), ('small', 1.0)):
+        gaps = generator.exponential(1 / rate, int(60 * rate))
+        for number, at_s in enumerate(numpy.cumsum(gaps)):
+            arrived = events.Arrived(
+                call_id=f'{team}-{number}',
+                team=team,
+                remaining_s=1e6,
+                cost=float(generator.integers(1, 4)),
+            )
+            sim.schedule(at_s=float(at_s), event=arrived)
+    sim.run()
+    true = [
+        0.5 <= sim.wait_s(call_id) / (factor * estimated_s) <= 2.0
+        for call_id, estimated_s in sim.estimates_s_by_id.items()
+        if estimated_s > 0
+    ]
+    return sum(true) / len(sim.estimates_s_by_id)
