--- a/packages/savoryyoke/savoryyoke/quarantine/conf.py
+++ b/packages/savoryyoke/savoryyoke/quarantine/conf.py
@@ -21,7 +21,7 @@
     of the crashes known then or heard of within ``success_memory_s``.
     """
 
-    crashes_to_convict: int = 2
+    crashes_to_convict: int = 3
     evidence_s: float = 3600.0
     silent_s: float = 10.0
     success_memory_s: float = 30.0
--- a/packages/savoryyoke/tests/quarantine/test_evidence.py
+++ b/packages/savoryyoke/tests/quarantine/test_evidence.py
@@ -11,7 +11,7 @@
 from savoryyoke.quarantine import conf
 from savoryyoke.quarantine import evidence
 
-_POLICY = conf.QuarantinePolicy()
+_POLICY = conf.QuarantinePolicy(crashes_to_convict=2)
 _GUILTY = b'guilty'
 _INNOCENTS = [f'innocent-{number}'.encode() for number in range(6)]
 _BATCHES = strategies.sets(strategies.sampled_from(_INNOCENTS))
--- a/packages/savoryyoke/tests/quarantine/test_quarantine.py
+++ b/packages/savoryyoke/tests/quarantine/test_quarantine.py
@@ -4,6 +4,7 @@
 import unittest
 
 from savoryyoke.quarantine import aggregates
+from savoryyoke.quarantine import conf
 from savoryyoke.quarantine import decisions
 from savoryyoke.quarantine import events
 from savoryyoke.quarantine import evidence
@@ -11,6 +12,7 @@
 from savoryyoke.quarantine import isolation
 
 _GUILTY = b'guilty'
+_POLICY = conf.QuarantinePolicy(crashes_to_convict=2)
 
 
 def _request(call_id, fingerprint, reports=()):
@@ -35,9 +37,9 @@
 
     def setUp(self):
         """Let one back end crash under three requests."""
-        self.entry = aggregates.Quarantine()
-        self.first = aggregates.Quarantine()
-        self.second = aggregates.Quarantine()
+        self.entry = aggregates.Quarantine(policy=_POLICY)
+        self.first = aggregates.Quarantine(policy=_POLICY)
+        self.second = aggregates.Quarantine(policy=_POLICY)
         reports = _crash(self.first, 'crash-1', [_GUILTY, b'a', b'b'])
         received = events.ReportsReceived(reports=reports)
         self.entry.apply(received, now_s=0.0)
@@ -83,7 +85,7 @@
         self.assertIs(evidence.Verdict.CLEAR, self.entry.verdict(b'a'))
 
     def test_late_news_does_not_undo_a_success(self):
-        unaware = aggregates.Quarantine()
+        unaware = aggregates.Quarantine(policy=_POLICY)
         unaware.apply(events.CallSucceeded(fingerprint=b'a'), now_s=0.0)
         news = self._offer(_GUILTY).reports
         unaware.apply(events.ReportsReceived(reports=news), now_s=5.0)
@@ -91,7 +93,7 @@
         self.assertIs(evidence.Verdict.SUSPECT, unaware.verdict(_GUILTY))
 
     def test_conviction_stops_runs_that_began_before(self):
-        third = aggregates.Quarantine()
+        third = aggregates.Quarantine(policy=_POLICY)
         third.apply(_request('unaware', _GUILTY), now_s=0.0)
         news = _crash(self.second, 'crash-2', [_GUILTY])
         news += self._offer(_GUILTY).reports
