--- a/packages/savoryyoke/savoryyoke/limits/aggregates.py
+++ b/packages/savoryyoke/savoryyoke/limits/aggregates.py
@@ -45,6 +45,7 @@
         self._asked_s_by_number = {}
         # Grants to an earlier process of this entry must not match.
         self._number = incarnation << _NUMBER_BITS
+        self._next_ask = 0
         self._heartbeat_s = now_s
         # A process before this one may have lent its part out.
         self._accrues_from_s = now_s + conf.LOAN_S
@@ -122,7 +123,8 @@
         self._heartbeat_s = now_s
         self._forget_asks(now_s)
         rows_by_entry = {}
-        for (team, resource), bucket in self._buckets_by_key.items():
+        for team, resource in self._keys_in_turn():
+            bucket = self._buckets_by_key[team, resource]
             self._ask(team, resource, bucket, rows_by_entry, now_s)
             bucket.decay_demand(passed_s=passed_s)
         return tuple(
@@ -235,12 +237,22 @@
             kept[team, resource] = bucket
         self._buckets_by_key = kept
 
+    def _keys_in_turn(self):
+        # Asks beyond one heartbeat's room go first with the next one.
+        keys = list(self._buckets_by_key)
+        first = self._next_ask % max(len(keys), 1)
+        self._next_ask = first
+        return keys[first:] + keys[:first]
+
     def _ask(self, team, resource, bucket, rows_by_entry, now_s):
         bucket.settle(now_s=now_s)
         wanted = bucket.demand_per_s - bucket.base_per_s
         others = [e for e in self.homes(team=team) if e != self._entry_id]
         rows = sum(len(rows) for rows in rows_by_entry.values())
-        if wanted <= 0 or rows + len(others) > conf.ROWS_PER_HEARTBEAT:
+        if rows + len(others) > conf.ROWS_PER_HEARTBEAT:
+            return
+        self._next_ask += 1
+        if wanted <= 0:
             return
         for entry_id in others:
             missing = wanted - bucket.borrowed_per_s(except_from=entry_id)
--- a/packages/savoryyoke/tests/limits/test_team_limits.py
+++ b/packages/savoryyoke/tests/limits/test_team_limits.py
@@ -192,6 +192,31 @@
         return fleet.admitted / (20 * _RATE)
 
 
+class HeartbeatTest(unittest.TestCase):
+    """Check what goes with the heartbeats."""
+
+    def test_asks_are_bounded_and_take_turns(self):
+        teams = [f'team-{number}' for number in range(120)]
+        limit = conf.TeamLimit(requests_per_s=1.0)
+        entry = aggregates.TeamLimits(entry_id='one', incarnation=1, now_s=0.0)
+        listed = events.EntriesListed(entry_ids=('one', 'two'))
+        published = events.LimitsPublished(
+            limits_by_team=dict.fromkeys(teams, limit)
+        )
+        for event in (listed, published):
+            entry.apply(event, now_s=0.0)
+        asked = set()
+        for second in range(1, 4):
+            for team in teams * 4:
+                call = events.CallArrived(call_id='c', team=team, tokens=1.0)
+                entry.apply(call, now_s=float(second))
+            made = entry.apply(events.HeartbeatDue(), now_s=float(second))
+            rows = [row for ask in made for row in ask.rows]
+            self.assertLessEqual(len(rows), conf.ROWS_PER_HEARTBEAT)
+            asked.update(row.team for row in rows)
+        self.assertEqual(set(teams), asked)
+
+
 class HomesTest(unittest.TestCase):
     """Check which entries admit a team's calls."""
 
