--- a/packages/savoryyoke/savoryyoke/calls/testing/schedules.py
+++ b/packages/savoryyoke/savoryyoke/calls/testing/schedules.py
@@ -46,10 +46,17 @@
         self._fingerprints_by_key = {}
 
     def run(self, steps):
-        """Apply ``steps``, then let everything come to its end."""
+        """Apply ``steps``, then let everything come to its end.
+
+        Returns the number of attempts left without an answer.
+        """
         for name, first, second in steps:
             getattr(self, f'_{name}')(first, second)
         self._finish()
+        return sum(
+            len(self.world.processes_by_slot[entry_id].attempts_by_id)
+            for entry_id in self.world.entry_ids
+        )
 
     def _finish(self):
         world = self.world
--- a/packages/savoryyoke/tests/calls/test_schedules.py
+++ b/packages/savoryyoke/tests/calls/test_schedules.py
@@ -51,7 +51,10 @@
     )
     def check(data):
         oracle = oracles.Oracle()
-        schedules.Schedule(oracle=oracle).run(_decode(data))
+        schedule = schedules.Schedule(oracle=oracle)
+        unanswered = schedule.run(_decode(data))
+        if unanswered:
+            raise AssertionError(f'{unanswered} attempts have no answer')
         if seen is not None:
             seen.update(oracle.counts)
 
--- /dev/null
+++ b/tools/measure/keyed_calls.py
@@ -0,0 +1,189 @@
+"""Drive callers of non-idempotent calls through a world of failures."""
+
+import collections
+import dataclasses
+
+import numpy
+
+from savoryyoke.calls import conf
+from savoryyoke.calls.ledger import events
+from savoryyoke.calls import outcomes
+from savoryyoke.calls.testing import oracle as oracles
+from savoryyoke.calls.testing import world as worlds
+
+STEP_S = worlds.STEP_S
+CALLS_PER_TARGET_S = 2.0
+SERVICE_S = 0.3
+CONCURRENCY = 4
+CALLER_TIMEOUT_S = 3.0
+ATTEMPTS_LIMIT = 4
+BACKOFF_S = 1.0
+# The refusals that an overloaded or stopping target gives in any design.
+ORDINARY_REASONS = (
+    outcomes.NotRunReason.REFUSED,
+    outcomes.NotRunReason.HAND_OVER_FAILED,
+)
+
+
+@dataclasses.dataclass(kw_only=True)
+class Call:
+    """Hold a caller's call over its attempts."""
+
+    key: object
+    attempt_id: str | None = None
+    sent_s: float = 0.0
+    next_s: float = 0.0
+    attempts: int = 0
+    was_doubted: bool = False
+
+
+class Callers:
+    """Make calls, repeat those without an answer and count the ends.
+
+    ``counts`` has ``calls``, ``ran``, ``not_run``, ``may_have_run`` (the last
+    word), ``ever_may_have_run``, ``unanswered``, ``first_refused`` (by the
+    rules of at most one run) and ``double_runs``. Callers use a binding up
+    to ``binding_age_s`` after they got it.
+    """
+
+    def __init__(self, *, seed, binding_age_s, targets=3):
+        self._binding_age_s = binding_age_s
+        self.generator = numpy.random.default_rng(seed)
+        self.oracle = oracles.Oracle()
+        self.world = worlds.World(
+            oracle=self.oracle, targets=targets, limits=conf.LedgerLimits()
+        )
+        self.counts = collections.Counter()
+        self._calls = []
+        self._bindings = collections.deque()
+        self._busy_until_s = collections.defaultdict(collections.deque)
+        self._steps = 0
+
+    def run(self, seconds, *, arrivals=True):
+        """Let time pass."""
+        for _ in range(round(seconds / STEP_S)):
+            self._step(arrivals)
+
+    def finish(self):
+        """Let all calls come to their end; count what is left."""
+        self.run(ATTEMPTS_LIMIT * (CALLER_TIMEOUT_S + 2.0), arrivals=False)
+        for call in self._calls:
+            self._end(call, 'unanswered')
+
+    def refuse_queued(self, target_id):
+        """Let a stopping target refuse what it has not handed over."""
+        while self.world.processes_by_slot[target_id].queue:
+            self.world.refuse(target_id)
+
+    def _step(self, arrivals):
+        world = self.world
+        world.advance(STEP_S)
+        self._steps += 1
+        if self._steps % 5 == 0:
+            world.beat()
+            for target_id in filter(world.is_awake, world.target_ids):
+                world.apply(target_id, events.Ticked())
+        if arrivals:
+            self._collect_bindings()
+            self._arrive()
+        for target_id in filter(world.is_awake, world.target_ids):
+            self._serve(target_id)
+        world.flow()
+        self._read_outcomes()
+
+    def _collect_bindings(self):
+        bindings = {}
+        for target_id in self.world.target_ids:
+            process = self.world.processes_by_slot.get(target_id)
+            entry = self.world.processes_by_slot.get('e0')
+            if process is None or entry is None:
+                continue
+            binding = entry.routes.make_binding(
+                service='payments',
+                target_id=target_id,
+                incarnation=process.incarnation,
+            )
+            if binding is not None:
+                bindings[target_id] = binding
+        self._bindings.append(bindings)
+        while len(self._bindings) * STEP_S > self._binding_age_s:
+            self._bindings.popleft()
+
+    def _arrive(self):
+        rate = CALLS_PER_TARGET_S * len(self.world.target_ids) * STEP_S
+        for _ in range(self.generator.poisson(rate)):
+            age = self.generator.integers(len(self._bindings))
+            bindings = self._bindings[age]
+            if not bindings:
+                continue
+            target_id = self.generator.choice(sorted(bindings))
+            self.counts['calls'] += 1
+            key = bindings[target_id].bind(suffix=str(self.counts['calls']))
+            self._calls.append(Call(key=key, next_s=self.world.now_s))
+
+    def _serve(self, target_id):
+        target = self.world.processes_by_slot[target_id]
+        busy = self._busy_until_s[target.incarnation]
+        while busy and busy[0] <= self.world.now_s and target.running:
+            busy.popleft()
+            self.world.complete(target_id)
+        while target.queue and len(target.running) < CONCURRENCY:
+            running = len(target.running)
+            self.world.hand_over(target_id)
+            if len(target.running) > running:
+                busy.append(self.world.now_s + SERVICE_S)
+
+    def _read_outcomes(self):
+        now_s = self.world.now_s
+        for call in tuple(self._calls):
+            if call.attempt_id is None:
+                if now_s >= call.next_s:
+                    self._send(call)
+                continue
+            outcome = self.world.outcomes_by_attempt.get(call.attempt_id)
+            if outcome is not None:
+                self._take(call, outcome)
+            elif now_s > call.sent_s + CALLER_TIMEOUT_S:
+                self._repeat_or_end(call, BACKOFF_S, 'unanswered')
+
+    def _send(self, call):
+        live = [e for e in self.world.entry_ids if e in self._living()]
+        if not live:
+            return
+        call.attempts += 1
+        call.sent_s = self.world.now_s
+        call.attempt_id = self.world.call(
+            live[self.generator.integers(len(live))],
+            call.key,
+            timeout_s=CALLER_TIMEOUT_S,
+        )
+
+    def _living(self):
+        return self.world.processes_by_slot
+
+    def _take(self, call, outcome):
+        if isinstance(outcome, outcomes.NotRun):
+            is_rule = outcome.reason not in ORDINARY_REASONS
+            if call.attempts == 1 and is_rule:
+                self.counts['first_refused'] += 1
+            delay_s = outcome.retry_after_s
+            self._repeat_or_end(call, delay_s, 'not_run')
+        elif isinstance(outcome, outcomes.MayHaveRun):
+            call.was_doubted = True
+            self._repeat_or_end(call, BACKOFF_S, 'may_have_run')
+        else:
+            self._end(call, 'ran')
+
+    def _repeat_or_end(self, call, delay_s, end):
+        if call.attempts >= ATTEMPTS_LIMIT:
+            self._end(call, end)
+            return
+        call.attempt_id = None
+        call.next_s = self.world.now_s + delay_s
+
+    def _end(self, call, end):
+        self.counts[end] += 1
+        if call.was_doubted:
+            self.counts['ever_may_have_run'] += 1
+        if call in self._calls:
+            self._calls.remove(call)
