Keep conversations on their target and measure routing

Change: the affine target is found by the first digest that few targets hold; what an answer showed within a minute outlives a gap; a router keeps at most 2,000 beliefs a target. A model of targets with lagging reports compares the router with naive policies.

--- a/packages/savoryyoke/savoryyoke/routing/choices.py
+++ b/packages/savoryyoke/savoryyoke/routing/choices.py
@@ -56,8 +56,8 @@
     def _gather(self, request, *, digests):
         """Return states and reasons by target id, the best reason first."""
         found = {}
-        self._add_holders(found, digests=digests)
         self._add_affine(found, request, digests=digests)
+        self._add_holders(found, digests=digests)
         usable = self._registry.get_usable()
         reason = decisions.ChoiceReason.SAMPLED
         for _ in range(self._settings.random_candidates):
@@ -73,13 +73,13 @@
             holders.remove(target_id)
             state = self._registry.get(target_id)
             if self._registry.is_usable(state):
-                found[target_id] = (state, reason)
+                found.setdefault(target_id, (state, reason))
 
     def _add_affine(self, found, request, *, digests):
         """Add the first target of the ring that is not overloaded."""
         key = request.adapter.encode()
         if digests:
-            key += digests[0]
+            key += self._beliefs.find_rare(digests=digests)
         if not key:
             return
         key += request.model.encode() + request.version.encode()
@@ -91,7 +91,7 @@
         for target_id in walk:
             state = self._registry.get(target_id)
             if self._is_below_mean(state):
-                found.setdefault(target_id, (state, reason))
+                found[target_id] = (state, reason)
                 return
 
     def _is_below_mean(self, state):
@@ -137,13 +137,16 @@
             state,
             load=load,
             wait_s=wait_s,
-            saving_s=self._estimate_saving(state, matched=matched),
+            saving_s=self._estimate_saving(
+                state,
+                matched=matched,
+                missing=len(digests) - matched,
+                reason=reason,
+            ),
             summary=self._summary,
             settings=self._settings,
             now_s=self._now_s,
         )
-        if reason is decisions.ChoiceReason.AFFINITY:
-            score_s -= self._settings.affinity_bonus_s
         return decisions.Candidate(
             target_id=state.target_id,
             score_s=score_s,
@@ -152,13 +155,22 @@
             reason=reason,
         )
 
-    def _estimate_saving(self, state, *, matched):
-        if not matched:
-            return 0.0
-        return scoring.estimate_saving(
-            matched=matched,
-            confidence=self._beliefs.get_confidence(target_id=state.target_id),
-            settings=self._settings,
+    def _estimate_saving(self, state, *, matched, missing, reason):
+        """Return what the target's cache is expected to save, in seconds.
+
+        The affine target may well hold what no event has told of.
+        """
+        likely = 0.0
+        if matched:
+            likely = matched * self._beliefs.get_confidence(
+                target_id=state.target_id
+            )
+        saving_s = 0.0
+        if reason is decisions.ChoiceReason.AFFINITY:
+            likely += missing * self._settings.affinity_trust
+            saving_s = self._settings.affinity_bonus_s
+        return saving_s + scoring.estimate_saving(
+            likely, settings=self._settings
         )
 
     def _pick(self, candidates):
--- a/packages/savoryyoke/savoryyoke/routing/conf.py
+++ b/packages/savoryyoke/savoryyoke/routing/conf.py
@@ -20,6 +20,7 @@
     random_candidates: int = 2
     prefix_candidates: int = 2
     affinity_steps: int = 3
+    rare_holders_limit: int = 3
     affinity_load_factor: float = 1.25
     near_equal_s: float = 0.005
     near_equal_ratio: float = 0.1
@@ -41,6 +42,7 @@
     block_prefill_s: float = 0.005
     prefix_saving_limit_s: float = 0.3
     affinity_bonus_s: float = 0.01
+    affinity_trust: float = 0.5
     kv_pressure_below_ratio: float = 0.1
     kv_pressure_penalty_s: float = 0.3
     latency_weight: float = 0.2
@@ -52,9 +54,10 @@
     unknown_limit: int = 1
 
     # Prefix beliefs.
-    beliefs_limit: int = 20_000
+    beliefs_limit: int = 2000
     digests_limit: int = 64
     confidence_weight: float = 0.2
+    answer_trust_s: float = 60.0
 
     # Refusals.
     occupancy_limits: tuple[float, ...] = (1.0, 1.5, 2.0, 3.0)
--- a/packages/savoryyoke/savoryyoke/routing/prefixes.py
+++ b/packages/savoryyoke/savoryyoke/routing/prefixes.py
@@ -29,13 +29,17 @@
         self._sequences_by_target_id[target_id] = sequence
         return last is not None and sequence != last + 1
 
-    def add(self, *, target_id, digests):
-        """Believe that a target caches the digests."""
+    def add(self, *, target_id, digests, answered_at_s=None):
+        """Believe that a target caches the digests.
+
+        ``answered_at_s`` tells when an answer showed it, None for an event.
+        """
         believed = self._digests_by_target_id.setdefault(
             target_id, collections.OrderedDict()
         )
         for digest in digests:
-            believed[digest] = None
+            if answered_at_s is not None or digest not in believed:
+                believed[digest] = answered_at_s
             believed.move_to_end(digest)
             self._target_ids_by_digest.setdefault(digest, {})[target_id] = None
         excess = len(believed) - self._settings.beliefs_limit
@@ -56,6 +60,21 @@
             self._unindex(target_id=target_id, digest=digest)
         return len(believed)
 
+    def drop_unanswered(self, *, target_id, now_s):
+        """Drop the beliefs that no answer showed lately; return the number.
+
+        An event that was missed may have evicted any of them.
+        """
+        believed = self._digests_by_target_id.get(target_id, {})
+        oldest_s = now_s - self._settings.answer_trust_s
+        dropped = [
+            digest
+            for digest, answered_at_s in believed.items()
+            if answered_at_s is None or answered_at_s < oldest_s
+        ]
+        self.remove(target_id=target_id, digests=dropped)
+        return len(dropped)
+
     def drop_target(self, *, target_id):
         """Drop everything known about a target; return the beliefs' number."""
         self._sequences_by_target_id.pop(target_id, None)
@@ -82,6 +101,19 @@
                 return holders
         return ()
 
+    def find_rare(self, *, digests):
+        """Return the first digest that few targets are believed to hold.
+
+        A prefix that many requests share is held by many targets; what
+        follows it tells conversations apart.
+        """
+        limit = self._settings.rare_holders_limit
+        for digest in digests:
+            holders = self._target_ids_by_digest.get(digest, ())
+            if len(holders) <= limit:
+                return digest
+        return digests[-1]
+
     def get_confidence(self, *, target_id):
         """Return how far beliefs about a target are trusted, 0 to 1."""
         return self._confidences_by_target_id.get(target_id, 1.0)
--- a/packages/savoryyoke/savoryyoke/routing/router.py
+++ b/packages/savoryyoke/savoryyoke/routing/router.py
@@ -171,9 +171,13 @@
             reason = decisions.RejectionReason.OUT_OF_ORDER
             return _reject(event, target_id, reason)
         dropped = ()
-        if gap or event.reset:
-            cause = 'gap' if gap else 'reset'
-            dropped = self._forget_cache(target_id, reason=cause)
+        if event.reset:
+            dropped = self._forget_cache(target_id, reason='reset')
+        elif gap:
+            count = self._beliefs.drop_unanswered(
+                target_id=target_id, now_s=now_s
+            )
+            dropped = _report_dropped(target_id, count=count, reason='gap')
         self._beliefs.remove(target_id=target_id, digests=event.evicted)
         self._beliefs.add(target_id=target_id, digests=event.added)
         return dropped
@@ -258,7 +262,11 @@
                 expected=call.matched,
                 found=event.cached_digests,
             )
-        self._beliefs.add(target_id=call.target_id, digests=call.digests)
+        self._beliefs.add(
+            target_id=call.target_id,
+            digests=call.digests,
+            answered_at_s=now_s,
+        )
         return ()
 
     @apply.register
--- a/packages/savoryyoke/savoryyoke/routing/scoring.py
+++ b/packages/savoryyoke/savoryyoke/routing/scoring.py
@@ -67,7 +67,10 @@
     return lack * settings.kv_pressure_penalty_s
 
 
-def estimate_saving(*, matched, confidence, settings):
-    """Return the time that a cached prefix saves, in seconds, bounded."""
-    saving_s = matched * settings.block_prefill_s * confidence
+def estimate_saving(digests_count, *, settings):
+    """Return the time that cached digests save, in seconds, bounded.
+
+    ``digests_count`` may be a fraction: the expected number.
+    """
+    saving_s = digests_count * settings.block_prefill_s
     return min(saving_s, settings.prefix_saving_limit_s)
--- a/packages/savoryyoke/tests/routing/test_router.py
+++ b/packages/savoryyoke/tests/routing/test_router.py
@@ -340,6 +340,51 @@
             support.finish(routed, call_id, now_s=0.0)
         self.assertLess(self.count(routed), 60)
 
+    def test_gap_keeps_what_an_answer_showed_lately(self):
+        """Trust an answer for a minute beyond a missing event."""
+        for now_s, dropped in ((50.0, ()), (70.0, (40,))):
+            with self.subTest(now_s=now_s):
+                routed = self.make_router()
+                support.dispatch(
+                    routed,
+                    'call',
+                    'target-7',
+                    now_s=0.0,
+                    prefix_digests=self.PROMPT,
+                )
+                support.finish(routed, 'call', now_s=0.0)
+                event = events.CacheEventSeen(
+                    target_id='target-7', incarnation=1, sequence=9
+                )
+                outcome = routed.apply(event, now_s=now_s)
+                self.assertEqual(
+                    dropped, tuple(item.count for item in outcome)
+                )
+
+    def test_shared_prefix_does_not_draw_all_conversations(self):
+        """Spread conversations that begin with one popular prefix."""
+        routed = support.make_router()
+        support.warm(routed, running=8)
+        for number in range(12):
+            event = events.CacheEventSeen(
+                target_id=support.make_target_id(number),
+                incarnation=1,
+                sequence=1,
+                added=self.PROMPT,
+            )
+            routed.apply(event, now_s=0.0)
+        chosen = collections.Counter()
+        for number in range(100):
+            own = tuple(b'%d/%d' % (number, block) for block in range(20))
+            request = decisions.Request(
+                service='letters', prefix_digests=self.PROMPT + own
+            )
+            again = choose_many(routed, count=3, request=request)
+            self.assertEqual(1, len(again), number)
+            chosen += again
+        self.assertGreaterEqual(len(chosen), 10)
+        self.assertLess(max(chosen.values()), 90)
+
     def test_evicted_prefix_is_no_longer_matched(self):
         """Match no further than the first evicted digest."""
         routed = self.make_router()
--- /dev/null
+++ b/tools/measure/routing.py
@@ -0,0 +1,182 @@
+"""Measure routing against naive policies on one seeded load.
+
+Prints one line of key=value pairs for each fleet and policy, and the cost of
+one decision. Run it as ``python -m tools.measure.routing``.
+"""
+
+import dataclasses
+import sys
+import time
+
+import numpy as np
+
+from savoryyoke.routing import decisions
+from savoryyoke.routing import events
+from savoryyoke.routing import router
+from tools.measure import routing_policies
+from tools.measure import traffic
+
+SEED = 1
+POLICIES = {
+    'routed': routing_policies.Routed,
+    'round_robin': routing_policies.RoundRobin,
+    'least_reported': routing_policies.LeastReported,
+    'perfect_shortest_queue': routing_policies.PerfectShortestQueue,
+}
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Fleet:
+    """Describe a fleet and its load."""
+
+    entries: int
+    targets: int
+    data_centres: int
+    teams: int
+    conversations: int
+    calls_per_s: float
+    warm_s: float
+    until_s: float
+
+
+FLEETS = {
+    'today': Fleet(
+        entries=8,
+        targets=12,
+        data_centres=3,
+        teams=10,
+        conversations=100,
+        calls_per_s=22.0,
+        warm_s=30.0,
+        until_s=180.0,
+    ),
+    'today_busy': Fleet(
+        entries=8,
+        targets=12,
+        data_centres=3,
+        teams=10,
+        conversations=100,
+        calls_per_s=27.0,
+        warm_s=30.0,
+        until_s=180.0,
+    ),
+    'planned': Fleet(
+        entries=350,
+        targets=1300,
+        data_centres=6,
+        teams=2200,
+        conversations=20,
+        calls_per_s=2700.0,
+        warm_s=20.0,
+        until_s=35.0,
+    ),
+}
+
+
+def measure(fleet, *, policy, seed=SEED, **arguments):
+    """Run a policy on a fleet; return the measured values by name."""
+    world = traffic.make_world(
+        policy=policy,
+        entries=fleet.entries,
+        targets=fleet.targets,
+        data_centres=fleet.data_centres,
+        seed=seed,
+        **arguments,
+    )
+    traffic.schedule_calls(
+        world,
+        calls_per_s=fleet.calls_per_s,
+        until_s=fleet.until_s,
+        teams=fleet.teams,
+        conversations=fleet.conversations,
+        entries=fleet.entries,
+        seed=seed,
+    )
+    world.run(until_s=fleet.until_s + 30.0)
+    calls = [call for call in world.calls if call.arrived_s > fleet.warm_s]
+    return summarize(calls, world=world)
+
+
+def summarize(calls, *, world):
+    """Return the measured values of some calls by name."""
+    begun = [call for call in calls if call.first_token_s is not None]
+    firsts_s = [call.first_token_s for call in begun]
+    blocks = sum(len(call.digests) for call in begun)
+    refused = sum(call.outcome == 'refused' for call in calls)
+    tries = sum(call.tries for call in calls)
+    return {
+        'calls': len(calls),
+        'first_token_p50_s': round(float(np.quantile(firsts_s, 0.5)), 3),
+        'first_token_p95_s': round(float(np.quantile(firsts_s, 0.95)), 3),
+        'first_token_p99_s': round(float(np.quantile(firsts_s, 0.99)), 3),
+        'between_tokens_p95_ms': round(
+            1000 * float(np.quantile([c.token_s for c in begun], 0.95)), 1
+        ),
+        'prefix_hits': round(sum(c.cached for c in begun) / blocks, 3),
+        'refused': round(refused / len(calls), 4),
+        'refused_tries_per_call': round(tries / len(calls), 4),
+    }
+
+
+def measure_cost(*, targets=40, decisions_count=20_000):
+    """Return the processor time of one decision, in microseconds."""
+    routed = router.Router(
+        service='letters',
+        entry_id='entry-0',
+        data_centre='dc-0',
+        generator=np.random.default_rng(SEED),
+    )
+    request = decisions.Request(
+        service='letters',
+        prefix_digests=traffic.make_digests(team=1, conversation=1),
+        priority=2,
+    )
+    for number in range(targets):
+        _warm(routed, str(number), request.prefix_digests[: number % 40])
+    started_s = time.process_time()
+    for _ in range(decisions_count):
+        routed.choose(request, 0.1)
+    return (time.process_time() - started_s) / decisions_count * 1e6
+
+
+def _warm(routed, target_id, digests):
+    seen = events.TargetSeen(
+        target_id=target_id, incarnation=1, data_centre='dc-0', address=''
+    )
+    routed.apply(seen, now_s=0.0)
+    routed.plan_connections()
+    routed.apply(events.TargetReachable(target_id=target_id), now_s=0.0)
+    report = events.LoadReported(
+        target_id=target_id,
+        incarnation=1,
+        stamp_s=1.0,
+        running=12,
+        queued=0,
+        limit=24,
+        estimated_wait_s=0.0,
+        cold=False,
+    )
+    routed.apply(report, now_s=0.0)
+    cached = events.CacheEventSeen(
+        target_id=target_id, incarnation=1, sequence=1, added=digests
+    )
+    routed.apply(cached, now_s=0.0)
+
+
+def main(names):
+    """Measure the named fleets, all by default."""
+    for name in names or FLEETS:
+        for policy_name, policy in POLICIES.items():
+            started_s = time.process_time()
+            values = measure(FLEETS[name], policy=policy)
+            values['model_s'] = round(time.process_time() - started_s, 1)
+            print(f'fleet={name} policy={policy_name} seed={SEED}', end='')
+            for key, value in values.items():
+                print(f' {key}={value}', end='')
+            print(flush=True)
+    cost_us = measure_cost()
+    print(f'decision_cost_us={cost_us:.1f} targets=40 prefix_digests=40')
+
+
+if __name__ == '__main__':
+    main(sys.argv[1:])
