Repeat outcomes to the heir after a reconnection

Cause: an outcome lost between a leaving process and its heir left the repeat waiting until its deadline. Change: HeirReconnected sends all outcomes of exported calls again; the heir ignores those it knows. The schedules reconnect at any moment. Seen to fail: test_lost_transfers_are_repeated with transfers that are forgotten once sent.

--- a/packages/savoryyoke/savoryyoke/calls/ledger/authority.py
+++ b/packages/savoryyoke/savoryyoke/calls/ledger/authority.py
@@ -185,6 +185,10 @@
             made.extend(self.apply(parked, now_s=now_s))
         return tuple(made)
 
+    @apply.register
+    def _(self, event: events.HeirReconnected, *, now_s):
+        return self._handover.transfer_all()
+
     @apply.register
     def _(self, event: events.Inherited, *, now_s):
         snapshot = event.snapshot
--- a/packages/savoryyoke/savoryyoke/calls/ledger/events.py
+++ b/packages/savoryyoke/savoryyoke/calls/ledger/events.py
@@ -98,6 +98,11 @@
     export_number: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class HeirReconnected:
+    """Report a new connection to the heir; messages may have been lost."""
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Inherited:
     """Report a snapshot sent by a process that leaves."""
--- a/packages/savoryyoke/savoryyoke/calls/ledger/handover.py
+++ b/packages/savoryyoke/savoryyoke/calls/ledger/handover.py
@@ -35,7 +35,7 @@
         self._confirmed_stamps = {}
         self._parked_limit = parked_limit
         self._parked = []
-        self._exported_in_progress = set()
+        self._exported_in_progress = {}
 
     @property
     def is_open(self):
@@ -60,12 +60,12 @@
             for book in books
             if book.confirmed
         }
-        self._exported_in_progress = {
+        self._exported_in_progress = dict.fromkeys(
             record
             for book in books
             for record in book.records()
             if record.phase in records.IN_PROGRESS
-        }
+        )
         snapshot = snapshots.Snapshot(
             heir=heir,
             source_incarnation=self._source_incarnation,
@@ -95,9 +95,7 @@
             export_number=self._export_number,
             stamps_by_incarnation=dict(self._confirmed_stamps),
         )
-        transfers = []
-        for record in tuple(self._exported_in_progress):
-            transfers.extend(self.transfer(record, answer=record.answer))
+        transfers = self.transfer_all()
         redirects = tuple(self.redirect(event) for event in self._parked)
         self._parked = []
         return (name, *transfers, *redirects)
@@ -106,7 +104,7 @@
         """Open again; return the events that were parked meanwhile."""
         self.phase = HandoverPhase.OPEN
         self.heir = None
-        self._exported_in_progress = set()
+        self._exported_in_progress = {}
         parked = self._parked
         self._parked = []
         return parked
@@ -127,12 +125,18 @@
             stamp_ms=self.stamps_by_incarnation[event.key.incarnation],
         )
 
+    def transfer_all(self):
+        """Return the transfers of all exported records that have ended."""
+        transfers = []
+        for record in self._exported_in_progress:
+            transfers.extend(self.transfer(record, answer=record.answer))
+        return tuple(transfers)
+
     def transfer(self, record, *, answer):
         """Return the transfer of an exported record that has ended."""
         if not self.is_done or record not in self._exported_in_progress:
             return ()
         if record.phase in records.IN_PROGRESS:
             return ()
-        self._exported_in_progress.discard(record)
         copy = snapshots.copy_record(record, answer=answer)
         return (decisions.TransferRecord(heir=self.heir, record=copy),)
--- a/packages/savoryyoke/savoryyoke/calls/testing/schedules.py
+++ b/packages/savoryyoke/savoryyoke/calls/testing/schedules.py
@@ -28,6 +28,7 @@
     'restart_target': 1,
     'drain': 2,
     'abort_drain': 1,
+    'reconnect': 1,
     'forget_predecessor': 1,
     'replace_drained': 2,
 }
@@ -204,6 +205,11 @@
         if target_id is not None:
             self.world.abort_drain(target_id)
 
+    def _reconnect(self, first, second):
+        target_id = self._target(first)
+        if target_id is not None:
+            self.world.reconnect(target_id)
+
     def _forget_predecessor(self, first, second):
         target_id = self._target(first)
         if target_id is not None:
--- a/packages/savoryyoke/savoryyoke/calls/testing/world.py
+++ b/packages/savoryyoke/savoryyoke/calls/testing/world.py
@@ -288,6 +288,10 @@
             number = export.snapshot.export_number
             self.apply(target_id, events.HeirLost(export_number=number))
 
+    def reconnect(self, target_id):
+        """Let a target that has left connect to its heir again."""
+        self.apply(target_id, events.HeirReconnected())
+
     def forget_predecessors(self, target_id):
         """Tell a target that all the processes that left are gone."""
         alive = {p.incarnation for p in self.processes_by_slot.values()}
--- a/packages/savoryyoke/tests/calls/test_ledger.py
+++ b/packages/savoryyoke/tests/calls/test_ledger.py
@@ -287,6 +287,15 @@
         made = self.apply(transferred, ledger=self.heir)
         self.assertEqual('a2', made[0].attempt_id)
         self.assertEqual(outcomes.Ran(answer=ANSWER), made[0].outcome)
+        self.assertEqual((), self.apply(transferred, ledger=self.heir))
+
+    def test_lost_transfers_are_repeated(self):
+        self.apply(make_offer(self.key))
+        self.hand_over()
+        reconnected = events.HeirReconnected()
+        self.assertEqual((), self.apply(reconnected))
+        made = self.apply(events.Refused(key=self.key, retry_after_s=0.0))
+        self.assertEqual(made[1:], self.apply(reconnected))
 
     def test_predecessor_that_died_leaves_its_calls_in_doubt(self):
         self.apply(make_offer(self.key))
