--- a/packages/savoryyoke/savoryyoke/admission/aggregates.py
+++ b/packages/savoryyoke/savoryyoke/admission/aggregates.py
@@ -90,7 +90,7 @@
     def _(self, event: events.BackendStopped, now_s):
         self._stopped = True
         if self._running_by_id:
-            self._concurrency.record_fall()
+            self._concurrency.record_crash()
         return self._hand_back(_Reason.BACKEND_STOPPED)
 
     @_apply.register
--- a/packages/savoryyoke/savoryyoke/admission/conf.py
+++ b/packages/savoryyoke/savoryyoke/admission/conf.py
@@ -43,7 +43,7 @@
     ``healthy_ratio`` the limit grows, from ``slow_ratio`` on it is cut,
     in between it holds. Where ``cold_ratio`` is still exceeded after
     ``very_slow_to_turn_cold`` cuts in a row, the target counts as cold.
-    Steps are in calls per successful completion. Each fall of the back
+    Steps are in calls per successful completion. Each crash of the back
     end halves them until ``successes_to_trust`` completions went well.
     """
 
@@ -61,9 +61,9 @@
     failed_share_to_turn_cold: float = 0.5
     samples_to_judge: int = 3
     successes_to_be_warm: int = 8
-    most_falls: int = 4
+    most_crashes: int = 4
     successes_to_trust: int = 400
-    idle_doubt_s: float = 60.0
+    idle_period_s: float = 60.0
     recent_smoothing: float = 0.3
     failure_smoothing: float = 0.2
     baseline_smoothing: float = 0.05
--- a/packages/savoryyoke/savoryyoke/admission/warmup.py
+++ b/packages/savoryyoke/savoryyoke/admission/warmup.py
@@ -18,8 +18,8 @@
         self._service = latency.LatencyBaseline(policy=policy)
         self._first_token = latency.LatencyBaseline(policy=policy)
         self._evidence_s = None
-        self._falls = 0
-        self._successes_since_fall = 0
+        self._crashes = 0
+        self._successes_since_crash = 0
         self._limit = float(limits.initial_concurrency)
         self.epoch = 0
         self._reset_to_cold()
@@ -36,34 +36,38 @@
 
     def change_limits(self, *, limits):
         """Take in the operators' new limits."""
+        known = self._limits
         self._limits = limits
+        if self._threshold >= known.max_concurrency:
+            self._threshold = float(limits.max_concurrency)
+        if self._limit == known.initial_concurrency:
+            self._limit = float(limits.initial_concurrency)
         self._limit = min(self._limit, float(limits.max_concurrency))
-        self._threshold = min(self._threshold, float(limits.max_concurrency))
 
     def turn_cold(self):
         """Fall back to the initial concurrency."""
         self._reset_to_cold()
 
-    def record_fall(self):
+    def record_crash(self):
         """Take in that the back end went down under its calls.
 
-        Each fall halves the speed of the growth that follows, or the same
+        Each crash halves the speed of the growth that follows, or the same
         ramp would bring the back end down again.
         """
-        self._falls = min(self._falls + 1, self._policy.most_falls)
-        self._successes_since_fall = 0
+        self._crashes = min(self._crashes + 1, self._policy.most_crashes)
+        self._successes_since_crash = 0
 
     def notice_time(self, *, now_s, running):
         """Halve the limit for each idle period without evidence."""
         if self._evidence_s is None or running:
             self._evidence_s = now_s
             return
-        while now_s - self._evidence_s >= self._policy.idle_doubt_s:
+        while now_s - self._evidence_s >= self._policy.idle_period_s:
             if self._limit <= self._limits.initial_concurrency:
                 self._evidence_s = now_s
                 return
-            self._evidence_s += self._policy.idle_doubt_s
-            self._doubt()
+            self._evidence_s += self._policy.idle_period_s
+            self._decay()
 
     def record_success(
         self, *, epoch, limit_was_used, service_s_per_cost, first_token_s
@@ -98,9 +102,9 @@
     def _record_healthy(self, limit_was_used):
         self._healthy += 1
         self._very_slow_epochs = 0
-        self._successes_since_fall += 1
-        if self._successes_since_fall >= self._policy.successes_to_trust:
-            self._falls = 0
+        self._successes_since_crash += 1
+        if self._successes_since_crash >= self._policy.successes_to_trust:
+            self._crashes = 0
         if self._healthy >= self._policy.successes_to_be_warm:
             self._cold = False
         if limit_was_used:
@@ -126,7 +130,7 @@
             step = self._policy.slow_start_step
         else:
             step = self._policy.steady_step / self._limit
-        return step / 2**self._falls
+        return step / 2**self._crashes
 
     def _cut(self, factor):
         # Growth slows down just below the limit that went wrong, or the
@@ -136,7 +140,7 @@
         self._threshold = self._limit
         self._open_epoch()
 
-    def _doubt(self):
+    def _decay(self):
         self._threshold = self._limit
         self._limit = max(
             self._limit / 2, float(self._limits.initial_concurrency)
--- a/packages/savoryyoke/savoryyoke/quarantine/aggregates.py
+++ b/packages/savoryyoke/savoryyoke/quarantine/aggregates.py
@@ -9,7 +9,7 @@
 from savoryyoke.quarantine import evidence
 from savoryyoke.quarantine import exceptions
 
-_Verdict = evidence.Verdict
+_Status = evidence.Status
 
 
 class Quarantine:
@@ -26,9 +26,9 @@
         self._fingerprints_by_call_id = {}
         self._succeeded_s_by_fingerprint = collections.OrderedDict()
 
-    def verdict(self, fingerprint):
-        """Return the present verdict on a request."""
-        return self._evidence.verdict(fingerprint)
+    def status(self, fingerprint):
+        """Return the present status of a request."""
+        return self._evidence.status(fingerprint)
 
     def apply(self, event, *, now_s):
         """Take in an event and return the decisions that follow from it.
@@ -44,10 +44,10 @@
 
     @_apply.register
     def _(self, event: events.CallOffered, now_s):
-        verdict = self.verdict(event.fingerprint)
-        if verdict is _Verdict.CONVICTED:
+        status = self.status(event.fingerprint)
+        if status is _Status.QUARANTINED:
             return (self._refuse(event, now_s),)
-        if verdict is _Verdict.SUSPECT:
+        if status is _Status.SUSPECT:
             reports = self._evidence.reports_about(
                 event.fingerprint, now_s=now_s
             )
@@ -57,10 +57,10 @@
     @_apply.register
     def _(self, event: events.RunRequested, now_s):
         stopped = self._merge(event.reports, now_s)
-        verdict = self.verdict(event.fingerprint)
-        if verdict is _Verdict.CONVICTED:
+        status = self.status(event.fingerprint)
+        if status is _Status.QUARANTINED:
             return (*stopped, self._refuse(event, now_s))
-        suspect = verdict is _Verdict.SUSPECT
+        suspect = status is _Status.SUSPECT
         isolated = self._running_suspects() if suspect else frozenset()
         if isolated:
             refusal = decisions.RefuseWhileIsolating(
@@ -133,7 +133,7 @@
         return tuple(
             decisions.StopRun(call_id=call_id)
             for call_id, fingerprint in self._fingerprints_by_call_id.items()
-            if self.verdict(fingerprint) is _Verdict.CONVICTED
+            if self.status(fingerprint) is _Status.QUARANTINED
         )
 
     def _refuse(self, event, now_s):
@@ -148,7 +148,7 @@
         return frozenset(
             fingerprint
             for fingerprint in self._fingerprints_by_call_id.values()
-            if self.verdict(fingerprint) is _Verdict.SUSPECT
+            if self.status(fingerprint) is _Status.SUSPECT
         )
 
     def _note_success(self, fingerprint, now_s):
--- a/packages/savoryyoke/savoryyoke/quarantine/conf.py
+++ b/packages/savoryyoke/savoryyoke/quarantine/conf.py
@@ -13,15 +13,15 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class QuarantinePolicy:
-    """State how much evidence convicts and how long it is kept.
+    """State when a request is quarantined and for how long.
 
-    ``crashes_to_convict`` counts distinct crashes that no other request
+    ``crashes_to_quarantine`` counts distinct crashes that no other request
     explains as well. Evidence expires ``evidence_s`` after the crash and
     is not passed on in its last ``silent_s``. A success clears a request
     of the crashes known then or heard of within ``success_memory_s``.
     """
 
-    crashes_to_convict: int = 3
+    crashes_to_quarantine: int = 3
     evidence_s: float = 3600.0
     silent_s: float = 10.0
     success_memory_s: float = 30.0
@@ -29,7 +29,7 @@
     success_limit: int = 4096
 
     def __post_init__(self):
-        if self.crashes_to_convict < 2:
+        if self.crashes_to_quarantine < 2:
             raise exceptions.InvalidPolicy(
                 'one crash cannot tell a request from its batch'
             )
--- a/packages/savoryyoke/savoryyoke/quarantine/decisions.py
+++ b/packages/savoryyoke/savoryyoke/quarantine/decisions.py
@@ -54,7 +54,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class StopRun:
-    """Stop a run of a request that has been convicted meanwhile."""
+    """Stop a run of a request that has been quarantined meanwhile."""
 
     call_id: str
 
--- a/packages/savoryyoke/savoryyoke/quarantine/evidence.py
+++ b/packages/savoryyoke/savoryyoke/quarantine/evidence.py
@@ -1,16 +1,16 @@
-"""Merge what processes know of crashes and draw verdicts from it."""
+"""Merge what processes know of crashes and derive the status of requests."""
 
 import collections
 import dataclasses
 import enum
 
 
-class Verdict(enum.Enum):
-    """Say what the evidence bears on a request."""
+class Status(enum.Enum):
+    """Say whether a request is suspected."""
 
     CLEAR = 'clear'
     SUSPECT = 'suspect'
-    CONVICTED = 'convicted'
+    QUARANTINED = 'quarantined'
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -51,7 +51,7 @@
         self._policy = policy
         self._crashes_by_id = {}
         self._crash_ids_by_fingerprint = collections.defaultdict(set)
-        self._judgement = None
+        self._status_by_fingerprint = None
 
     def merge(self, report, *, now_s):
         """Take in a report; return whether it told anything new."""
@@ -84,16 +84,16 @@
                 crash.cleared |= {fingerprint}
                 self._note_change(crash)
 
-    def verdict(self, fingerprint):
-        """Return what the evidence bears on a request."""
+    def status(self, fingerprint):
+        """Return the status of a request."""
         if fingerprint not in self._crash_ids_by_fingerprint:
-            return Verdict.CLEAR
-        if self._judgement is None:
-            self._judgement = _judge(
+            return Status.CLEAR
+        if self._status_by_fingerprint is None:
+            self._status_by_fingerprint = _assess(
                 [crash.suspects for crash in self._crashes_by_id.values()],
-                self._policy.crashes_to_convict,
+                self._policy.crashes_to_quarantine,
             )
-        return self._judgement.get(fingerprint, Verdict.CLEAR)
+        return self._status_by_fingerprint.get(fingerprint, Status.CLEAR)
 
     def reports_about(self, fingerprint, *, now_s):
         """Return the crashes that a request was part of."""
@@ -147,11 +147,11 @@
             crash_ids.discard(crash_id)
             if not crash_ids:
                 del self._crash_ids_by_fingerprint[fingerprint]
-        self._judgement = None
+        self._status_by_fingerprint = None
 
     def _note_change(self, crash):
         crash.times_sent = 0
-        self._judgement = None
+        self._status_by_fingerprint = None
 
     def _report(self, crash_id, now_s):
         crash = self._crashes_by_id[crash_id]
@@ -163,30 +163,30 @@
         )
 
 
-def _judge(suspects_by_crash, crashes_to_convict):
-    """Return the verdicts on all suspects.
+def _assess(suspects_by_crash, crashes_to_quarantine):
+    """Return the status of each suspect.
 
-    A crash speaks against the one request that took part in more crashes
-    than any other of the batch. What a convict explains speaks against
-    nobody else, so it is set aside before judging the rest.
+    A crash is attributed to the one request that took part in more crashes
+    than any other of the batch. Crashes with a quarantined request are
+    explained and are set aside before assessing the rest.
     """
-    verdicts = {}
+    statuses = {}
     unexplained = [suspects for suspects in suspects_by_crash if suspects]
     while True:
-        convicts = _find_convicts(unexplained, crashes_to_convict)
-        if not convicts:
+        poison = _find_poison(unexplained, crashes_to_quarantine)
+        if not poison:
             break
-        verdicts.update(dict.fromkeys(convicts, Verdict.CONVICTED))
+        statuses.update(dict.fromkeys(poison, Status.QUARANTINED))
         unexplained = [
-            suspects for suspects in unexplained if not suspects & convicts
+            suspects for suspects in unexplained if not suspects & poison
         ]
     for suspects in unexplained:
         for fingerprint in suspects:
-            verdicts.setdefault(fingerprint, Verdict.SUSPECT)
-    return verdicts
+            statuses.setdefault(fingerprint, Status.SUSPECT)
+    return statuses
 
 
-def _find_convicts(unexplained, crashes_to_convict):
+def _find_poison(unexplained, crashes_to_quarantine):
     crashes = collections.Counter()
     for suspects in unexplained:
         crashes.update(suspects)
@@ -199,5 +199,5 @@
     return {
         fingerprint
         for fingerprint, count in against.items()
-        if count >= crashes_to_convict
+        if count >= crashes_to_quarantine
     }
--- a/packages/savoryyoke/tests/admission/test_warmup.py
+++ b/packages/savoryyoke/tests/admission/test_warmup.py
@@ -108,22 +108,32 @@
         )
         self.assertGreaterEqual(sim.limits[-1][1], 8)
 
-    def test_fall_halves_the_speed_of_the_next_ramp(self):
+    def test_crash_halves_the_speed_of_the_next_ramp(self):
         limits = []
-        for falls in (0, 1):
+        for crashes in (0, 1):
             limit = warmup.ConcurrencyLimit(limits=_LIMITS, policy=_POLICY)
-            for _ in range(falls):
-                limit.record_fall()
+            for _ in range(crashes):
+                limit.record_crash()
             limit.turn_cold()
             for _ in range(12):
                 _succeed(limit, limit.epoch)
             limits.append(limit.in_force)
         self.assertEqual([7, 4], limits)
 
-    def test_idle_time_raises_doubt(self):
+    def test_raised_bound_is_reached_as_fast_as_from_the_start(self):
+        reached = []
+        for limits in (_LIMITS, conf.AdmissionLimits(max_concurrency=2)):
+            limit = warmup.ConcurrencyLimit(limits=limits, policy=_POLICY)
+            limit.change_limits(limits=_LIMITS)
+            for _ in range(20):
+                _succeed(limit, limit.epoch)
+            reached.append(limit.in_force)
+        self.assertEqual([11, 11], reached)
+
+    def test_idle_time_lowers_the_limit(self):
         sim = _simulate(lambda *_: 0.1, calls=300, rate=200.0)
         self.assertEqual(16, sim.limits[-1][1])
-        now_s = 3 * _POLICY.idle_doubt_s + 10.0
+        now_s = 3 * _POLICY.idle_period_s + 10.0
         sim.admission.apply(events.Ticked(), now_s=now_s)
         self.assertLessEqual(sim.admission.snapshot().concurrency_limit, 4)
 
--- a/packages/savoryyoke/tests/quarantine/test_evidence.py
+++ b/packages/savoryyoke/tests/quarantine/test_evidence.py
@@ -1,4 +1,4 @@
-"""Test that evidence merges in any order and blames no innocent."""
+"""Test that evidence merges in any order and spares healthy requests."""
 
 import collections
 import itertools
@@ -11,10 +11,10 @@
 from savoryyoke.quarantine import conf
 from savoryyoke.quarantine import evidence
 
-_POLICY = conf.QuarantinePolicy(crashes_to_convict=2)
-_GUILTY = b'guilty'
-_INNOCENTS = [f'innocent-{number}'.encode() for number in range(6)]
-_BATCHES = strategies.sets(strategies.sampled_from(_INNOCENTS))
+_POLICY = conf.QuarantinePolicy(crashes_to_quarantine=2)
+_POISON = b'poison'
+_HEALTHY = [f'healthy-{number}'.encode() for number in range(6)]
+_BATCHES = strategies.sets(strategies.sampled_from(_HEALTHY))
 _REPORTS = strategies.builds(
     evidence.CrashReport,
     crash_id=strategies.sampled_from(['one', 'two', 'three']),
@@ -53,13 +53,13 @@
         return changed
 
 
-def _convict_all(unexplained, crashes_to_convict):
-    """Naive version: convicts whatever was there often enough."""
+def _blame_all(unexplained, crashes_to_quarantine):
+    """Naive version: quarantines whatever was there often enough."""
     fingerprints = [f for suspects in unexplained for f in suspects]
     return {
         fingerprint
         for fingerprint in fingerprints
-        if fingerprints.count(fingerprint) >= crashes_to_convict
+        if fingerprints.count(fingerprint) >= crashes_to_quarantine
     }
 
 
@@ -67,9 +67,9 @@
     known = evidence_class(policy=_POLICY)
     for report in reports:
         known.merge(report, now_s=0.0)
-    verdicts = {name: known.verdict(name) for name in _INNOCENTS}
+    statuses = {name: known.status(name) for name in _HEALTHY}
     everything = known.next_reports(count=99, now_s=0.0)
-    return verdicts, sorted(everything, key=lambda report: report.crash_id)
+    return statuses, sorted(everything, key=lambda report: report.crash_id)
 
 
 def _check_order(evidence_class, reports):
@@ -131,49 +131,47 @@
         return len(one._crashes_by_id) + len(other._crashes_by_id)
 
 
-def _check_no_innocent(batches, cleared):
+def _check_healthy_spared(batches, cleared):
     known = evidence.Evidence(policy=_POLICY)
     for number, batch in enumerate(batches):
-        known.merge(_report(f'{number}', _GUILTY, *batch), now_s=0.0)
-        for name in _INNOCENTS:
-            assert known.verdict(name) is not evidence.Verdict.CONVICTED
+        known.merge(_report(f'{number}', _POISON, *batch), now_s=0.0)
+        for name in _HEALTHY:
+            assert known.status(name) is not evidence.Status.QUARANTINED
         for name in cleared:
             known.clear(name)
     return known
 
 
-class VerdictTest(unittest.TestCase):
-    """Check who is convicted."""
+class StatusTest(unittest.TestCase):
+    """Check which requests are quarantined."""
 
     @hypothesis.settings(derandomize=True, deadline=None, max_examples=200)
     @hypothesis.given(
         batches=strategies.lists(_BATCHES, min_size=2, max_size=6),
         cleared=_BATCHES,
     )
-    def test_only_the_guilty_is_convicted(self, batches, cleared):
-        known = _check_no_innocent(batches, cleared)
+    def test_only_the_poison_request_is_quarantined(self, batches, cleared):
+        known = _check_healthy_spared(batches, cleared)
         common = set.intersection(*batches) - cleared
         if not common:
             return
-        # Whoever was in each crash is not told apart until it succeeds.
-        self.assertIs(evidence.Verdict.SUSPECT, known.verdict(_GUILTY))
+        # What was in each crash is not told apart until it succeeds.
+        self.assertIs(evidence.Status.SUSPECT, known.status(_POISON))
         for name in common:
             known.clear(name)
-        self.assertIs(evidence.Verdict.CONVICTED, known.verdict(_GUILTY))
+        self.assertIs(evidence.Status.QUARANTINED, known.status(_POISON))
 
     def test_naive_version_is_caught(self):
-        batch = set(_INNOCENTS[:3])
-        with unittest.mock.patch.object(
-            evidence, '_find_convicts', _convict_all
-        ):
+        batch = set(_HEALTHY[:3])
+        with unittest.mock.patch.object(evidence, '_find_poison', _blame_all):
             with self.assertRaises(AssertionError):
-                _check_no_innocent([batch, batch], set())
+                _check_healthy_spared([batch, batch], set())
 
-    def test_conviction_lifts_suspicion_from_the_batch(self):
+    def test_explained_crash_clears_its_batch(self):
         known = evidence.Evidence(policy=_POLICY)
-        known.merge(_report('one', _GUILTY, b'a'), now_s=0.0)
-        self.assertIs(evidence.Verdict.SUSPECT, known.verdict(b'a'))
-        known.merge(_report('two', _GUILTY, b'b'), now_s=0.0)
-        self.assertIs(evidence.Verdict.CONVICTED, known.verdict(_GUILTY))
+        known.merge(_report('one', _POISON, b'a'), now_s=0.0)
+        self.assertIs(evidence.Status.SUSPECT, known.status(b'a'))
+        known.merge(_report('two', _POISON, b'b'), now_s=0.0)
+        self.assertIs(evidence.Status.QUARANTINED, known.status(_POISON))
         for name in (b'a', b'b'):
-            self.assertIs(evidence.Verdict.CLEAR, known.verdict(name))
+            self.assertIs(evidence.Status.CLEAR, known.status(name))
--- a/packages/savoryyoke/tests/quarantine/test_quarantine.py
+++ b/packages/savoryyoke/tests/quarantine/test_quarantine.py
@@ -11,8 +11,8 @@
 from savoryyoke.quarantine import fingerprints
 from savoryyoke.quarantine import isolation
 
-_GUILTY = b'guilty'
-_POLICY = conf.QuarantinePolicy(crashes_to_convict=2)
+_POISON = b'poison'
+_POLICY = conf.QuarantinePolicy(crashes_to_quarantine=2)
 
 
 def _request(call_id, fingerprint, reports=()):
@@ -40,18 +40,18 @@
         self.entry = aggregates.Quarantine(policy=_POLICY)
         self.first = aggregates.Quarantine(policy=_POLICY)
         self.second = aggregates.Quarantine(policy=_POLICY)
-        reports = _crash(self.first, 'crash-1', [_GUILTY, b'a', b'b'])
+        reports = _crash(self.first, 'crash-1', [_POISON, b'a', b'b'])
         received = events.ReportsReceived(reports=reports)
         self.entry.apply(received, now_s=0.0)
 
     def test_request_is_stopped_after_two_crashes(self):
-        isolate = self._offer(_GUILTY)
-        reports = _crash(self.second, 'crash-2', [b'c', _GUILTY])
+        isolate = self._offer(_POISON)
+        reports = _crash(self.second, 'crash-2', [b'c', _POISON])
         self.assertEqual(1, len(reports))
         # The entry's report and the crash meet on the second target.
         told = events.ReportsReceived(reports=isolate.reports)
         self.second.apply(told, now_s=0.0)
-        (refusal,) = self.second.apply(_request('again', _GUILTY), now_s=0.0)
+        (refusal,) = self.second.apply(_request('again', _POISON), now_s=0.0)
         self.assertIsInstance(refusal, decisions.RefuseForGood)
         self.assertEqual(2, refusal.crashes)
 
@@ -82,21 +82,21 @@
         )
         told = events.ReportsReceived(reports=heartbeat.reports)
         self.entry.apply(told, now_s=2.0)
-        self.assertIs(evidence.Verdict.CLEAR, self.entry.verdict(b'a'))
+        self.assertIs(evidence.Status.CLEAR, self.entry.status(b'a'))
 
     def test_late_news_does_not_undo_a_success(self):
         unaware = aggregates.Quarantine(policy=_POLICY)
         unaware.apply(events.CallSucceeded(fingerprint=b'a'), now_s=0.0)
-        news = self._offer(_GUILTY).reports
+        news = self._offer(_POISON).reports
         unaware.apply(events.ReportsReceived(reports=news), now_s=5.0)
-        self.assertIs(evidence.Verdict.CLEAR, unaware.verdict(b'a'))
-        self.assertIs(evidence.Verdict.SUSPECT, unaware.verdict(_GUILTY))
+        self.assertIs(evidence.Status.CLEAR, unaware.status(b'a'))
+        self.assertIs(evidence.Status.SUSPECT, unaware.status(_POISON))
 
-    def test_conviction_stops_runs_that_began_before(self):
+    def test_quarantine_stops_runs_that_began_before(self):
         third = aggregates.Quarantine(policy=_POLICY)
-        third.apply(_request('unaware', _GUILTY), now_s=0.0)
-        news = _crash(self.second, 'crash-2', [_GUILTY])
-        news += self._offer(_GUILTY).reports
+        third.apply(_request('unaware', _POISON), now_s=0.0)
+        news = _crash(self.second, 'crash-2', [_POISON])
+        news += self._offer(_POISON).reports
         made = third.apply(events.ReportsReceived(reports=news), now_s=0.0)
         self.assertEqual((decisions.StopRun(call_id='unaware'),), made)
 
@@ -130,9 +130,9 @@
     def test_entries_agree_on_the_isolating_target(self):
         targets = [f'target-{number}' for number in range(12)]
         ranked = isolation.rank_targets(
-            fingerprint=_GUILTY, target_ids=targets
+            fingerprint=_POISON, target_ids=targets
         )
         again = isolation.rank_targets(
-            fingerprint=_GUILTY, target_ids=targets[::-1]
+            fingerprint=_POISON, target_ids=targets[::-1]
         )
         self.assertEqual(ranked, again)
--- a/tools/measure/cold_targets.py
+++ b/tools/measure/cold_targets.py
@@ -1,7 +1,7 @@
 """Measure what a target that starts or turns cold has to bear.
 
 A back end bears more the more calls it has completed since its start. Beyond
-that it slows down, and far beyond it falls over and restarts. The limit
+that it slows down, and far beyond it crashes and restarts. The limit
 by evidence is compared with no limit of its own and with a timed ramp.
 """
 
@@ -30,16 +30,16 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Scenario:
-    """Describe how fast a back end warms up and when it falls over."""
+    """Describe how fast a back end warms up and when it crashes."""
 
     calls_to_warm: int
-    falls_at_share: float
+    crashes_at_share: float
 
 
 SCENARIOS = (
-    Scenario(calls_to_warm=40, falls_at_share=1.5),
-    Scenario(calls_to_warm=120, falls_at_share=1.5),
-    Scenario(calls_to_warm=40, falls_at_share=10.0),
+    Scenario(calls_to_warm=40, crashes_at_share=1.5),
+    Scenario(calls_to_warm=120, crashes_at_share=1.5),
+    Scenario(calls_to_warm=40, crashes_at_share=10.0),
 )
 
 
@@ -66,8 +66,8 @@
     def record_failure(self, **evidence):
         """Ignore failures."""
 
-    def record_fall(self):
-        """Ignore falls."""
+    def record_crash(self):
+        """Ignore crashes."""
 
     def turn_cold(self):
         """Ignore restarts."""
@@ -147,7 +147,7 @@
         self._sequence = 0
         self._now_s = 0.0
         self._running = set()
-        self.falls = 0
+        self.crashes = 0
         self.lost = 0
         self.completed_s = []
         self._schedule(0.0, self._arrive)
@@ -181,8 +181,8 @@
         backend = self._backend
         backend.running += 1
         self._running.add(call_id)
-        if backend.running > self._scenario.falls_at_share * backend.bears:
-            self._schedule(0.0, self._fall)
+        if backend.running > self._scenario.crashes_at_share * backend.bears:
+            self._schedule(0.0, self._crash)
         starts = backend.starts
         service_s = backend.service_s(self._generator)
         self._schedule(
@@ -206,11 +206,11 @@
         # Nobody is told: only the service times show it.
         self._backend.completed = 0
 
-    def _fall(self):
+    def _crash(self):
         if not self._backend.up:
             return
         self._backend.up = False
-        self.falls += 1
+        self.crashes += 1
         self.lost += len(self._running)
         self._apply(events.BackendStopped())
         for call_id in sorted(self._running):
@@ -245,9 +245,9 @@
     name = limit_class.__name__ if limit_class else 'evidence'
     print(
         f'limit={name} calls_to_warm={scenario.calls_to_warm}'
-        f' falls_at_share={scenario.falls_at_share}'
+        f' crashes_at_share={scenario.crashes_at_share}'
         f' seeds={SEEDS.start}-{SEEDS.stop - 1}'
-        f' falls_mean={numpy.mean([t.falls for t in targets]):.1f}'
+        f' crashes_mean={numpy.mean([t.crashes for t in targets]):.1f}'
         f' lost_calls_mean={numpy.mean([t.lost for t in targets]):.1f}'
         f' completed_mean={numpy.mean(completed):.0f}'
         f' last_minute_per_s={numpy.mean(last_minute) / 60:.1f}'
--- a/tools/measure/crash_requests.py
+++ b/tools/measure/crash_requests.py
@@ -28,10 +28,10 @@
 RESEND_S = 0.5
 WAIT_FOR_ROOM_S = 0.2
 MOST_TRIES = 3
-FIRST_GUILTY_S = 20.0
+FIRST_POISON_S = 20.0
 END_S = 320.0
 BACKGROUND_CRASHES_PER_S = 1 / 60
-GUILTY = b'guilty'
+POISON = b'poison'
 SEEDS = range(10)
 
 
@@ -99,9 +99,11 @@
 class QuarantineGuard(NoGuard):
     """Use the library, with gossip that takes ``delay_s``."""
 
-    def __init__(self, *, fleet, delay_s, crashes_to_convict):
+    def __init__(self, *, fleet, delay_s, crashes_to_quarantine):
         """Start one aggregate at each entry and target."""
-        policy = conf.QuarantinePolicy(crashes_to_convict=crashes_to_convict)
+        policy = conf.QuarantinePolicy(
+            crashes_to_quarantine=crashes_to_quarantine
+        )
         self._fleet = fleet
         self._delay_s = delay_s
         self._entries = [
@@ -195,7 +197,7 @@
         self._guard = guard_class(fleet=self, **guard_options)
         self.schedule(0.0, self._arrive)
         for _ in range(senders):
-            self.schedule(FIRST_GUILTY_S, self._send_guilty)
+            self.schedule(FIRST_POISON_S, self._send_poison)
         self.schedule(self._background_gap_s(), self._crash_any)
 
     def schedule(self, delay_s, action):
@@ -212,14 +214,14 @@
         return self.counts
 
     def _arrive(self):
-        self.counts['innocents'] += 1
-        number = self.counts['innocents']
+        self.counts['healthy'] += 1
+        number = self.counts['healthy']
         self._try(self._new_call(f'call-{number}'.encode()))
         gap_s = self._generator.exponential(1 / CALLS_PER_S)
         self.schedule(gap_s, self._arrive)
 
-    def _send_guilty(self):
-        self._try(self._new_call(GUILTY))
+    def _send_poison(self):
+        self._try(self._new_call(POISON))
 
     def _new_call(self, fingerprint):
         self._sequence += 1
@@ -254,7 +256,7 @@
     def _start(self, target, call):
         call.tries += 1
         self._running[target][call.call_id] = call
-        if call.fingerprint == GUILTY:
+        if call.fingerprint == POISON:
             delay_s = self._generator.uniform(0.2, 1.0)
             outcome = self._crash_under
         else:
@@ -270,7 +272,7 @@
 
     def _crash_under(self, target, call, tried):
         if call.tries == tried and call.call_id in self._running[target]:
-            self.counts['lost_to_guilty'] += 1
+            self.counts['lost_to_poison'] += 1
             self._crash(target)
 
     def _crash_any(self):
@@ -291,17 +293,17 @@
     def _retry_or_fail(self, call):
         if call.tries < MOST_TRIES:
             self.schedule(0.0, lambda: self._try(call))
-        elif call.fingerprint == GUILTY:
-            self.schedule(RESEND_S, self._send_guilty)
+        elif call.fingerprint == POISON:
+            self.schedule(RESEND_S, self._send_poison)
         else:
-            self.counts['innocents_failed'] += 1
+            self.counts['healthy_failed'] += 1
 
     def _refuse_for_good(self, call):
-        if call.fingerprint == GUILTY:
-            self.counts['guilty_refused'] += 1
-            self.schedule(RESEND_S, self._send_guilty)
+        if call.fingerprint == POISON:
+            self.counts['poison_refused'] += 1
+            self.schedule(RESEND_S, self._send_poison)
         else:
-            self.counts['innocents_refused'] += 1
+            self.counts['healthy_refused'] += 1
 
 
 def measure(**case):
@@ -312,16 +314,16 @@
 def report(*, guard_class, **options):
     """Measure one case and print its line."""
     runs = measure(guard_class=guard_class, **options)
-    lost = [counts['lost_to_guilty'] for counts in runs]
+    lost = [counts['lost_to_poison'] for counts in runs]
     total = sum(runs, collections.Counter())
     described = ' '.join(f'{key}={value}' for key, value in options.items())
     print(
         f'guard={guard_class.__name__} {described}'
         f' seeds={SEEDS.start}-{SEEDS.stop - 1}'
         f' lost_mean={numpy.mean(lost):.1f} lost_max={max(lost)}'
-        f' innocents={total["innocents"]}'
-        f' innocents_refused={total["innocents_refused"]}'
-        f' innocents_failed={total["innocents_failed"]}',
+        f' healthy={total["healthy"]}'
+        f' healthy_refused={total["healthy_refused"]}'
+        f' healthy_failed={total["healthy_failed"]}',
         flush=True,
     )
 
@@ -337,7 +339,7 @@
                     guard_class=QuarantineGuard,
                     senders=senders,
                     delay_s=delay_s,
-                    crashes_to_convict=crashes,
+                    crashes_to_quarantine=crashes,
                 )
 
 
--- a/tools/measure/overload_costs.py
+++ b/tools/measure/overload_costs.py
@@ -75,23 +75,23 @@
         }
         report = evidence.CrashReport(
             crash_id=f'target-{crash}',
-            fingerprints=frozenset(members | {b'guilty'}),
+            fingerprints=frozenset(members | {b'poison'}),
             remaining_s=policy.evidence_s,
         )
         known.merge(report, now_s=0.0)
     held_mb = tracemalloc.get_traced_memory()[0] / 1e6
     tracemalloc.stop()
     started_s = time.process_time()
-    known.verdict(b'guilty')
-    judge_ms = (time.process_time() - started_s) * 1e3
+    known.status(b'poison')
+    assess_ms = (time.process_time() - started_s) * 1e3
     started_s = time.process_time()
     for _ in range(CALLS):
-        known.verdict(b'innocent')
-    verdict_us = (time.process_time() - started_s) / CALLS * 1e6
+        known.status(b'healthy')
+    status_us = (time.process_time() - started_s) / CALLS * 1e6
     print(
         f'quarantine crashes={policy.crash_limit} batch={BATCH}'
-        f' held_mb={held_mb:.1f} judge_cpu_ms={judge_ms:.1f}'
-        f' verdict_cpu_us={verdict_us:.1f}'
+        f' held_mb={held_mb:.1f} assess_cpu_ms={assess_ms:.1f}'
+        f' status_cpu_us={status_us:.1f}'
     )
 
 
