Let a started call be released without evidence

Cause: a call that the quarantine or a lost hand-over stops after its start freed its place only as a success or a failure of the back end.

The change: Released frees the place and says nothing about the back end.

Seen red: Released taken for a success (limit 2 instead of 1).

--- a/packages/savoryyoke/savoryyoke/admission/aggregates.py
+++ b/packages/savoryyoke/savoryyoke/admission/aggregates.py
@@ -129,6 +129,11 @@
             return ()
         return (self._refusal(event.call_id, _Reason.CANCELLED),)
 
+    @_apply.register
+    def _(self, event: events.Released, now_s):
+        self._running_by_id.pop(event.call_id, None)
+        return ()
+
     @_apply.register
     def _(self, event: events.Finished, now_s):
         running_before = len(self._running_by_id)
--- a/packages/savoryyoke/savoryyoke/admission/events.py
+++ b/packages/savoryyoke/savoryyoke/admission/events.py
@@ -50,6 +50,16 @@
     call_id: str
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Released:
+    """Report that a started call was not handed to the back end.
+
+    Its place is free again; the call says nothing about the back end.
+    """
+
+    call_id: str
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Ticked:
     """Report that time has passed."""
--- a/packages/savoryyoke/tests/admission/test_decisions.py
+++ b/packages/savoryyoke/tests/admission/test_decisions.py
@@ -116,6 +116,15 @@
             with self.assertRaises(AssertionError, msg=mutant.__name__):
                 _check_one_final_decision(mutant, burst)
 
+    def test_released_call_frees_its_place_and_proves_nothing(self):
+        admission = aggregates.Admission(limits=_LIMITS)
+        for number in range(20):
+            admission.apply(_call(f'{number}'), now_s=0.0)
+            released = events.Released(call_id=f'{number}')
+            admission.apply(released, now_s=0.0)
+        report = admission.snapshot()
+        self.assertEqual((0, 1), (report.running, report.concurrency_limit))
+
     def test_error_loses_no_expired_call(self):
         admission = aggregates.Admission(limits=_LIMITS)
         for name in ('a', 'b'):
