--- /dev/null
+++ b/packages/savoryyoke/savoryyoke/propagation/__init__.py
@@ -0,0 +1,1 @@
+"""Bring accepted configuration into force in every process."""
--- /dev/null
+++ b/packages/savoryyoke/tests/propagation/__init__.py
@@ -0,0 +1,1 @@
+"""Test the propagation package."""
