--- /dev/null
+++ b/packages/savoryyoke-entry/tests/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the operators' commands."""
