Measure service while a data centre leaves and returns

Also, a refusal rebuilt the list of usable targets from all known ones, and a router sent requests to targets that lack their model.

Change: data_centre_change runs a planned and an abrupt change with a cold return. A router keeps its subset apart and skips targets that are known to lack the model.

--- a/packages/savoryyoke/savoryyoke/routing/choices.py
+++ b/packages/savoryyoke/savoryyoke/routing/choices.py
@@ -107,7 +107,7 @@
     def _score_all(self, found, request, *, digests):
         candidates = []
         for state, reason in found.values():
-            if state.target_id in request.excluded_target_ids:
+            if not self._may_serve(state, request):
                 continue
             candidate = self._score(
                 state, request, digests=digests, reason=reason
@@ -116,6 +116,11 @@
                 candidates.append(candidate)
         return candidates
 
+    def _may_serve(self, state, request):
+        if state.target_id in request.excluded_target_ids:
+            return False
+        return state.serves(request.model)
+
     def _score(self, state, request, *, digests, reason):
         """Return a candidate, or None where the target has no room."""
         load = self._estimate_load(state)
@@ -212,6 +217,8 @@
         reason = decisions.NoTargetReason.OVERLOADED
         if not left:
             reason = decisions.NoTargetReason.ALL_EXCLUDED
+        elif not any(state.serves(request.model) for state in left):
+            reason = decisions.NoTargetReason.NOT_LOADED
         elif self._lowest_wait_s is not None:
             reason = decisions.NoTargetReason.DEADLINE
         elif all(state.is_cold for state in left):
--- a/packages/savoryyoke/savoryyoke/routing/decisions.py
+++ b/packages/savoryyoke/savoryyoke/routing/decisions.py
@@ -40,6 +40,7 @@
     ALL_OUT = 'all_out'
     ALL_EXCLUDED = 'all_excluded'
     ALL_COLD = 'all_cold'
+    NOT_LOADED = 'not_loaded'
     OVERLOADED = 'overloaded'
     DEADLINE = 'deadline'
 
--- a/packages/savoryyoke/savoryyoke/routing/events.py
+++ b/packages/savoryyoke/savoryyoke/routing/events.py
@@ -90,6 +90,19 @@
     kv_free_ratio: float = 1.0
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ModelsReported:
+    """Report which models a target has loaded.
+
+    ``stamp_s`` orders the reports as in `LoadReported`.
+    """
+
+    target_id: str
+    incarnation: int
+    stamp_s: float
+    models: frozenset[str]
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class CacheEventSeen:
     """Report changes of a target's prefix cache.
--- a/packages/savoryyoke/savoryyoke/routing/registry.py
+++ b/packages/savoryyoke/savoryyoke/routing/registry.py
@@ -21,6 +21,7 @@
             data_centres_by_entry_id={entry_id: data_centre}
         )
         self._connected = set()
+        self._subset = ()
         self._subset_dirty = True
         self._usable = None
         self._ring = None
@@ -50,6 +51,8 @@
             settings=self._settings,
         )
         self._states_by_id[seen.target_id] = state
+        if known is not None:
+            known.leaving = True
         self._connected.discard(seen.target_id)
         self._subset_dirty = True
         self.refresh()
@@ -63,6 +66,8 @@
             now_s + lifetime_s,
         )
         del self._states_by_id[state.target_id]
+        # A later choice must not see it, also without a new plan.
+        state.leaving = True
         self._subset_dirty = True
         self.refresh()
 
@@ -131,9 +136,7 @@
         """Return the targets that may get new work, as a list."""
         if self._usable is None:
             self._usable = [
-                state
-                for state in self._states_by_id.values()
-                if self.is_usable(state)
+                state for state in self._subset if self.is_usable(state)
             ]
         return self._usable
 
@@ -151,11 +154,7 @@
             self._place_sharers()
             self._subset_dirty = False
             self.refresh()
-        wanted = {
-            state.target_id
-            for state in self._states_by_id.values()
-            if state.position is not None
-        }
+        wanted = {state.target_id for state in self._subset}
         change = decisions.SubsetChanged(
             connect=tuple(sorted(wanted - self._connected)),
             disconnect=tuple(sorted(self._connected - wanted)),
@@ -180,3 +179,8 @@
             state.position = None
             if self._entry_id in sharers:
                 state.position = sharers.index(self._entry_id)
+        self._subset = tuple(
+            state
+            for state in self._states_by_id.values()
+            if state.position is not None
+        )
--- a/packages/savoryyoke/savoryyoke/routing/router.py
+++ b/packages/savoryyoke/savoryyoke/routing/router.py
@@ -158,6 +158,16 @@
         self._summary = None
         return ()
 
+    @apply.register
+    def _(self, event: events.ModelsReported, *, now_s):
+        state, rejection = self._find(event)
+        if state is None:
+            return rejection
+        reason = state.accept_models(event)
+        if reason is not None:
+            return _reject(event, event.target_id, reason)
+        return ()
+
     @apply.register
     def _(self, event: events.CacheEventSeen, *, now_s):
         state, rejection = self._find(event)
@@ -292,7 +302,8 @@
             return ()
         state.end_call(event.call_id)
         state.record_refusal(event, priority=call.priority, now_s=now_s)
-        self._refresh()
+        if state.leaving:
+            self._refresh()
         return ()
 
     def _find(self, event):
--- a/packages/savoryyoke/savoryyoke/routing/targets.py
+++ b/packages/savoryyoke/savoryyoke/routing/targets.py
@@ -3,6 +3,7 @@
 import math
 
 from savoryyoke.routing import checks
+from savoryyoke.routing import decisions
 from savoryyoke.routing import events
 from savoryyoke.routing import lateness
 from savoryyoke.routing import utils
@@ -25,6 +26,8 @@
         self.last_stamp_s = None
         self._lateness = lateness.LatenessEstimator()
         self.own_calls = 0
+        self._models = None
+        self._models_stamp_s = -math.inf
         self.sharers_count = 0
         self.position = None
         self._window = 1
@@ -61,6 +64,20 @@
         self._settle_reflected(now_s=self.received_at_s)
         return None
 
+    def accept_models(self, report):
+        """Take the models loaded; return why it is rejected, or None."""
+        if not utils.is_between(report.stamp_s, lowest=0.0, highest=1e12):
+            return decisions.RejectionReason.ABSURD_STAMP
+        if report.stamp_s <= self._models_stamp_s:
+            return decisions.RejectionReason.OUT_OF_ORDER
+        self._models_stamp_s = report.stamp_s
+        self._models = report.models
+        return None
+
+    def serves(self, model):
+        """Return whether the target may serve a model, as far as known."""
+        return not model or self._models is None or model in self._models
+
     def _settle_reflected(self, *, now_s):
         margin_s = 2 * self.distance_s + self._settings.report_margin_s
         for call_id, (sent_at_s, _) in tuple(
--- a/packages/savoryyoke/tests/routing/support.py
+++ b/packages/savoryyoke/tests/routing/support.py
@@ -1,12 +1,16 @@
 """Build routers and events for the tests of routing."""
 
+import collections
+
 import numpy as np
 
 from savoryyoke.routing import conf
+from savoryyoke.routing import decisions
 from savoryyoke.routing import events
 from savoryyoke.routing import router
 
 DATA_CENTRES = ('north', 'south', 'west')
+REQUEST = decisions.Request(service='letters')
 
 
 def make_target_id(number):
@@ -95,3 +99,13 @@
         ),
         now_s=now_s,
     )
+
+
+def choose_many(routed, *, count, request=REQUEST, now_s=0.0):
+    """Return how often each target is chosen, without dispatching."""
+    chosen = collections.Counter()
+    for _ in range(count):
+        choice = routed.choose(request, now_s)
+        if isinstance(choice, decisions.Chosen):
+            chosen[choice.target_id] += 1
+    return chosen
--- a/packages/savoryyoke/tests/routing/test_subsets.py
+++ b/packages/savoryyoke/tests/routing/test_subsets.py
@@ -49,6 +49,17 @@
         self.assertGreaterEqual(min(by_entry.values()), 20)
         self.assertLessEqual(max(by_entry.values()), 70)
 
+    def test_half_of_the_entries_are_near(self):
+        """Connect each target to its own data centre and to others."""
+        pairs = select_all(entries=range(ENTRIES))
+        near = collections.Counter(
+            number
+            for entry_id, number in pairs
+            if (int(entry_id[6:]) - number) % DATA_CENTRES == 0
+        )
+        self.assertGreaterEqual(min(near.values()), 6)
+        self.assertLess(max(near.values()), 11)
+
     def test_one_entry_moves_only_its_own_connections(self):
         """Bound the change when an entry leaves."""
         before = select_all(entries=range(ENTRIES))
--- /dev/null
+++ b/tools/measure/data_centre_change.py
@@ -0,0 +1,193 @@
+"""Measure service while a data centre leaves and returns with cold targets.
+
+One of three data centres is taken out (planned) or dies (abrupt) and comes
+back cold. Prints one line of key=value pairs for each case, policy and kind
+of work. Run it as ``python -m tools.measure.data_centre_change``.
+
+Both policies see the same list of targets, late, and the same refusals of
+the targets themselves. A caller whose call was refused does not come back.
+"""
+
+from savoryyoke.routing import events
+from tools.measure import routing_policies
+from tools.measure import traffic
+
+SEED = 1
+ENTRIES = 8
+TARGETS = 12
+DATA_CENTRES = 3
+CHANGED = 1
+LOADS_PER_S = (18.0, 24.0)
+LEAVES_AT_S = 60.0
+RETURNS_AT_S = 120.0
+UNTIL_S = 200.0
+GRACE_S = 5.0
+LIST_LAG_S = 15.0
+CONFIGURATION_DELAY_S = 1.0
+CONNECTION_LOSS_S = 1.0
+CONNECT_DELAY_S = 0.5
+POLICIES = {
+    'routed': routing_policies.Routed,
+    'round_robin': routing_policies.RoundRobin,
+    'least_reported': routing_policies.LeastReported,
+}
+
+
+class Change:
+    """Schedule the leaving and the return of one data centre."""
+
+    def __init__(self, *, world):
+        self._world = world
+        self._targets = [
+            target for target in world.targets if target.data_centre == CHANGED
+        ]
+        self._numbers = [target.number for target in self._targets]
+        self._left = [
+            target.number
+            for target in world.targets
+            if target.data_centre != CHANGED
+        ]
+
+    def schedule_planned(self):
+        """Let operators take the data centre out and bring it back."""
+        world = self._world
+        world.schedule(LEAVES_AT_S, self._set_leaving)
+        world.schedule(RETURNS_AT_S, self._return)
+        for policy in world.policies:
+            for at_s, state in (
+                (LEAVES_AT_S, events.DataCentreState.OUT),
+                (RETURNS_AT_S, events.DataCentreState.IN),
+            ):
+                delay_s = CONFIGURATION_DELAY_S * world.generator.random()
+                world.schedule(
+                    at_s + delay_s, policy.on_data_centre, CHANGED, state
+                )
+        self._schedule_lists()
+
+    def schedule_abrupt(self):
+        """Let the data centre die and start again."""
+        self._world.schedule(LEAVES_AT_S, self._fail)
+        self._world.schedule(RETURNS_AT_S, self._return)
+        self._schedule_lists()
+
+    def _schedule_lists(self):
+        world = self._world
+        everything = self._numbers + self._left
+        for policy in world.policies:
+            for at_s, numbers in (
+                (LEAVES_AT_S, self._left),
+                (RETURNS_AT_S, everything),
+            ):
+                world.schedule(at_s + LIST_LAG_S, policy.on_listed, numbers)
+
+    def _set_leaving(self):
+        for target in self._targets:
+            target.leaving = True
+
+    def _fail(self):
+        for target in self._targets:
+            cut = target.fail()
+            for call in cut:
+                self._world.schedule(
+                    CONNECTION_LOSS_S, self._resend, call, target.number
+                )
+        for policy in self._world.policies:
+            for number in self._numbers:
+                self._world.schedule(
+                    CONNECTION_LOSS_S, policy.on_connection, number, False
+                )
+
+    def _resend(self, call, number):
+        call.first_token_s = None
+        self._world.policies[call.entry].on_cut(call, number)
+        self._world.retry(call, number)
+
+    def _return(self):
+        for target in self._targets:
+            target.restart()
+        for policy in self._world.policies:
+            for number in self._numbers:
+                self._world.schedule(
+                    CONNECT_DELAY_S, policy.on_connection, number, True
+                )
+
+
+def measure(*, planned, policy, calls_per_s, seed=SEED):
+    """Run a change under a policy; return the world after it."""
+    world = traffic.make_world(
+        policy=policy,
+        entries=ENTRIES,
+        targets=TARGETS,
+        data_centres=DATA_CENTRES,
+        seed=seed,
+    )
+    traffic.schedule_calls(
+        world,
+        calls_per_s=calls_per_s,
+        until_s=UNTIL_S,
+        teams=10,
+        conversations=100,
+        entries=ENTRIES,
+        seed=seed,
+    )
+    change = Change(world=world)
+    if planned:
+        change.schedule_planned()
+    else:
+        change.schedule_abrupt()
+    world.run(until_s=UNTIL_S + 120.0)
+    return world
+
+
+def count_outcomes(calls, *, kind, deadline_s):
+    """Return the measured values of one kind of work by name."""
+    chosen = [call for call in calls if call.kind == kind]
+    answered = [call for call in chosen if call.outcome == 'answered']
+    late = sum(call.first_token_s > deadline_s for call in answered)
+    refused = sum(call.outcome == 'refused' for call in chosen)
+    return {
+        'calls': len(chosen),
+        'answered': len(answered),
+        'refused': refused,
+        'late': late,
+        'open': len(chosen) - len(answered) - refused,
+    }
+
+
+def main():
+    """Measure every case, policy and kind of work."""
+    for calls_per_s in LOADS_PER_S:
+        for planned in (True, False):
+            for name, policy in POLICIES.items():
+                world = measure(
+                    planned=planned, policy=policy, calls_per_s=calls_per_s
+                )
+                _print_case(
+                    world,
+                    prefix=f'change={"planned" if planned else "abrupt"} '
+                    f'calls_per_s={calls_per_s} policy={name} seed={SEED}',
+                )
+
+
+def count_tries_at_left(world):
+    """Return the tries sent to the data centre 5 s after it left."""
+    return sum(
+        LEAVES_AT_S + GRACE_S < at_s < RETURNS_AT_S
+        and world.targets[number].data_centre == CHANGED
+        for at_s, number in world.deliveries
+    )
+
+
+def _print_case(world, *, prefix):
+    print(f'{prefix} tries_after_5_s={count_tries_at_left(world)}')
+    during = [
+        call for call in world.calls if call.arrived_s >= LEAVES_AT_S - 20.0
+    ]
+    for kind, _, _, deadline_s in traffic.KINDS:
+        values = count_outcomes(during, kind=kind, deadline_s=deadline_s)
+        text = ' '.join(f'{key}={value}' for key, value in values.items())
+        print(f'{prefix} kind={kind} {text}', flush=True)
+
+
+if __name__ == '__main__':
+    main()
--- a/tools/measure/routing.py
+++ b/tools/measure/routing.py
@@ -118,49 +118,83 @@
     }
 
 
-def measure_cost(*, targets=40, decisions_count=20_000):
-    """Return the processor time of one decision, in microseconds."""
+def make_router(*, entries, targets):
+    """Return a router of a fleet, with reports of its targets."""
     routed = router.Router(
         service='letters',
         entry_id='entry-0',
         data_centre='dc-0',
         generator=np.random.default_rng(SEED),
     )
-    request = decisions.Request(
-        service='letters',
-        prefix_digests=traffic.make_digests(team=1, conversation=1),
-        priority=2,
+    peers = {f'entry-{number}': 'dc-0' for number in range(entries)}
+    routed.apply(
+        events.PeersChanged(data_centres_by_entry_id=peers), now_s=0.0
     )
     for number in range(targets):
-        _warm(routed, str(number), request.prefix_digests[: number % 40])
+        seen = events.TargetSeen(
+            target_id=str(number),
+            incarnation=1,
+            data_centre='dc-0',
+            address='',
+        )
+        routed.apply(seen, now_s=0.0)
+    return routed
+
+
+def measure_costs(*, repeats=20_000):
+    """Return the processor time of queries and events by name."""
+    digests = traffic.make_digests(team=1, conversation=1)
+    request = decisions.Request(
+        service='letters', prefix_digests=digests, priority=2
+    )
+    routed = make_router(entries=8, targets=40)
+    routed.plan_connections()
+    for number in range(40):
+        _warm(routed, str(number), digests[:number])
+    large = make_router(entries=350, targets=1300)
+    return {
+        'decision_us': _time(
+            lambda number: routed.choose(request, 0.1), repeats=repeats
+        ),
+        'load_report_us': _time(
+            lambda number: routed.apply(
+                _make_report('7', stamp_s=2.0 + number * 1e-4), now_s=0.2
+            ),
+            repeats=repeats,
+        ),
+        'plan_350_by_1300_us': _time(
+            lambda number: large.plan_connections(), repeats=1
+        ),
+    }
+
+
+def _time(action, *, repeats):
     started_s = time.process_time()
-    for _ in range(decisions_count):
-        routed.choose(request, 0.1)
-    return (time.process_time() - started_s) / decisions_count * 1e6
+    for number in range(repeats):
+        action(number)
+    return (time.process_time() - started_s) / repeats * 1e6
 
 
 def _warm(routed, target_id, digests):
-    seen = events.TargetSeen(
-        target_id=target_id, incarnation=1, data_centre='dc-0', address=''
-    )
-    routed.apply(seen, now_s=0.0)
-    routed.plan_connections()
     routed.apply(events.TargetReachable(target_id=target_id), now_s=0.0)
-    report = events.LoadReported(
+    routed.apply(_make_report(target_id, stamp_s=1.0), now_s=0.0)
+    cached = events.CacheEventSeen(
+        target_id=target_id, incarnation=1, sequence=1, added=digests
+    )
+    routed.apply(cached, now_s=0.0)
+
+
+def _make_report(target_id, *, stamp_s):
+    return events.LoadReported(
         target_id=target_id,
         incarnation=1,
-        stamp_s=1.0,
+        stamp_s=stamp_s,
         running=12,
         queued=0,
         limit=24,
         estimated_wait_s=0.0,
         cold=False,
     )
-    routed.apply(report, now_s=0.0)
-    cached = events.CacheEventSeen(
-        target_id=target_id, incarnation=1, sequence=1, added=digests
-    )
-    routed.apply(cached, now_s=0.0)
 
 
 def main(names):
@@ -174,8 +208,8 @@
             for key, value in values.items():
                 print(f' {key}={value}', end='')
             print(flush=True)
-    cost_us = measure_cost()
-    print(f'decision_cost_us={cost_us:.1f} targets=40 prefix_digests=40')
+    for key, value in measure_costs().items():
+        print(f'cost={key} value={value:.1f}')
 
 
 if __name__ == '__main__':
--- a/tools/measure/serving_model.py
+++ b/tools/measure/serving_model.py
@@ -173,6 +173,7 @@
             for number in range(targets_count)
         ]
         self.policies = []
+        self.deliveries = []
 
     def schedule(self, delay_s, action, *arguments):
         """Run an action after a delay in seconds."""
@@ -239,6 +240,7 @@
 
     def _deliver(self, call, number):
         target = self.targets[number]
+        self.deliveries.append((self.now_s, number))
         if not target.up:
             self.schedule(
                 CONNECT_TIMEOUT_S, self._refuse, call, number, 'lost'
