--- a/packages/savoryyoke/savoryyoke/configuration/faults.py
+++ b/packages/savoryyoke/savoryyoke/configuration/faults.py
@@ -87,7 +87,7 @@
         id=MORE_FAULTS,
         source=kept[-1].source,
         path='',
-        problem=f'{len(found) - len(kept)} more faults are not shown',
+        problem=f'at least {len(found) - len(kept)} more are not shown',
         hint='Mend the faults above and check again',
     )
     return (*kept, more)
--- a/packages/savoryyoke/savoryyoke/configuration/parsing.py
+++ b/packages/savoryyoke/savoryyoke/configuration/parsing.py
@@ -112,6 +112,8 @@
 
     def take(self, event):
         """Take one event; return whether to go on."""
+        if len(self._faults) > conf.FAULTS_LIMIT:
+            return False
         if isinstance(event, yaml.DocumentStartEvent):
             self._documents += 1
             return self._check_documents()
--- a/packages/savoryyoke/tests/configuration/test_parsing.py
+++ b/packages/savoryyoke/tests/configuration/test_parsing.py
@@ -87,6 +87,10 @@
                 found = {fault.id for fault in parse(text).faults}
                 self.assertEqual(found, {expected})
 
+    def test_parsing_stops_after_many_faults(self):
+        found = parse('a: 1\n' * 10_000).faults
+        self.assertEqual(len(found), conf.FAULTS_LIMIT + 1)
+
     def test_a_fault_is_one_line(self):
         key = 'x\\n\\e[31m' + 'y' * 500
         (fault,) = parse(f'"{key}": 1\n"{key}": 2\n').faults
