Avoid targets that fail at once and carry bindings in answers

Cause: a target whose calls fail at once looks idle and drew more work; a call reported as sent twice was counted twice; the answers of the directory had no place for bindings.

Ruled out: ejecting failing targets (a fault common to all would leave none).

Change: the share of failed calls adds to the score and is forgotten in time; a duplicate call is rejected; an answer carries the bindings and lives no longer than the shortest of them.

Tests: 2 new ones, seen red with failures ignored, the duplicate counted and the bindings' lifetimes ignored.

--- a/packages/savoryyoke/savoryyoke/directory/decisions.py
+++ b/packages/savoryyoke/savoryyoke/directory/decisions.py
@@ -35,10 +35,17 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Answer:
-    """Give entries in order of preference, good for ``lifetime_s``."""
+    """Give entries in order of preference, good for ``lifetime_s``.
+
+    ``bindings_by_service`` holds, for services whose calls may not be
+    repeated, the targets to bind new idempotency keys to.
+    """
 
     entries: tuple[EntryAddress, ...]
     lifetime_s: float
+    bindings_by_service: dict[str, tuple] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/savoryyoke/savoryyoke/directory/directory.py
+++ b/packages/savoryyoke/savoryyoke/directory/directory.py
@@ -27,8 +27,12 @@
         self._contacts = contacts.ContactMonitor(settings=self._settings)
         self._cut_off = None
 
-    def answer(self, caller, now_s):
-        """Return an `Answer`, or `CutOff` where this entry doubts itself."""
+    def answer(self, caller, now_s, *, bindings_by_service=None):
+        """Return an `Answer`, or `CutOff` where this entry doubts itself.
+
+        ``bindings_by_service`` are the routers' bindings; the answer lives
+        no longer than the shortest of them.
+        """
         reason = self._judge(now_s=now_s)
         if reason is not None:
             return self._refer_elsewhere(caller, reason=reason)
@@ -44,9 +48,18 @@
             )
         return decisions.Answer(
             entries=tuple(state.describe() for state in chosen),
-            lifetime_s=self._settings.lifetime_s,
+            lifetime_s=self._limit_lifetime(bindings_by_service or {}),
+            bindings_by_service=bindings_by_service or {},
         )
 
+    def _limit_lifetime(self, bindings_by_service):
+        lifetimes_s = [
+            binding.lifetime_s
+            for bindings in bindings_by_service.values()
+            for binding in bindings
+        ]
+        return min([self._settings.lifetime_s, *lifetimes_s])
+
     def _rank(self, states, caller):
         """Return states, those of the caller's data centre first."""
         ranked = ranking.rank_entries(states, identity=caller.identity)
--- a/packages/savoryyoke/savoryyoke/routing/conf.py
+++ b/packages/savoryyoke/savoryyoke/routing/conf.py
@@ -39,6 +39,7 @@
     default_call_s: float = 2.0
     default_distance_s: float = 0.002
     cold_penalty_s: float = 0.05
+    failure_penalty_s: float = 5.0
     block_prefill_s: float = 0.005
     prefix_saving_limit_s: float = 0.3
     affinity_bonus_s: float = 0.01
--- a/packages/savoryyoke/savoryyoke/routing/decisions.py
+++ b/packages/savoryyoke/savoryyoke/routing/decisions.py
@@ -50,6 +50,7 @@
 
     UNKNOWN_TARGET = 'unknown_target'
     UNKNOWN_CALL = 'unknown_call'
+    DUPLICATE_CALL = 'duplicate_call'
     OLD_INCARNATION = 'old_incarnation'
     UNKNOWN_INCARNATION = 'unknown_incarnation'
     OUT_OF_ORDER = 'out_of_order'
--- a/packages/savoryyoke/savoryyoke/routing/router.py
+++ b/packages/savoryyoke/savoryyoke/routing/router.py
@@ -237,6 +237,9 @@
         if state is None:
             reason = decisions.RejectionReason.UNKNOWN_TARGET
             return _reject(event, event.target_id, reason)
+        if event.call_id in self._calls_by_id:
+            reason = decisions.RejectionReason.DUPLICATE_CALL
+            return _reject(event, event.call_id, reason)
         digests = event.prefix_digests[: self._settings.digests_limit]
         summary = self._get_summary(now_s=now_s)
         load = state.estimate_load(
@@ -290,6 +293,8 @@
         state.end_call(event.call_id)
         if event.outcome is events.Outcome.ANSWERED:
             state.record_answer(event.latency_s, now_s=now_s)
+        elif event.outcome is events.Outcome.FAILED:
+            state.record_failure(now_s=now_s)
         return ()
 
     @apply.register
--- a/packages/savoryyoke/savoryyoke/routing/scoring.py
+++ b/packages/savoryyoke/savoryyoke/routing/scoring.py
@@ -54,6 +54,9 @@
     occupancy = load / max(1, state.limit)
     score_s = wait_s + state.distance_s + straggler_s - saving_s
     score_s += summary.mean_first_token_s * (1.0 + occupancy)
+    # A target that fails at once looks idle.
+    failures = state.read_failures(now_s=now_s)
+    score_s += failures * settings.failure_penalty_s
     if state.is_cold:
         score_s += settings.cold_penalty_s
     return score_s + _rate_kv_pressure(state, settings=settings)
--- a/packages/savoryyoke/savoryyoke/routing/targets.py
+++ b/packages/savoryyoke/savoryyoke/routing/targets.py
@@ -37,6 +37,7 @@
         self._held_priority = 0
         self._first_token = self._make_mean()
         self._call = self._make_mean()
+        self._failures = self._make_mean()
 
     def _make_mean(self):
         return utils.DecayingMean(
@@ -125,6 +126,11 @@
     def record_answer(self, latency_s, *, now_s):
         """Take the length of an answered call as a sample."""
         self._call.add(latency_s, now_s=now_s)
+        self._failures.add(0.0, now_s=now_s)
+
+    def record_failure(self, *, now_s):
+        """Take a failed call as a sample."""
+        self._failures.add(1.0, now_s=now_s)
 
     def record_refusal(self, refusal, *, priority, now_s):
         """Keep work of the refused importance away for a while."""
@@ -168,6 +174,10 @@
         """Return the usual length of a call, in seconds."""
         return self._call.read(now_s=now_s, default=default)
 
+    def read_failures(self, *, now_s):
+        """Return the share of calls that failed lately, 0 to 1."""
+        return self._failures.read(now_s=now_s, default=0.0)
+
     def estimate_load(self, *, mean_occupancy, now_s):
         """Return the calls that the target is expected to hold now.
 
--- a/packages/savoryyoke/tests/directory/test_directory.py
+++ b/packages/savoryyoke/tests/directory/test_directory.py
@@ -6,6 +6,7 @@
 from savoryyoke.directory import decisions
 from savoryyoke.directory import directory
 from savoryyoke.directory import events
+from savoryyoke.routing import decisions as routing_decisions
 
 DATA_CENTRES = ('north', 'south', 'west')
 CALLERS = [
@@ -120,6 +121,21 @@
             'south', [entry.data_centre for entry in answer.entries]
         )
 
+    def test_answer_lives_no_longer_than_its_bindings(self):
+        """Carry the bindings and take the shortest lifetime."""
+        known = make_directory()
+        binding = routing_decisions.Binding(
+            target_id='target-1',
+            incarnation=1,
+            address='10.0.0.1:7000',
+            lifetime_s=0.5,
+        )
+        bindings = {'payments': (binding,)}
+        answer = known.answer(CALLERS[0], 0.0, bindings_by_service=bindings)
+        self.assertEqual(bindings, answer.bindings_by_service)
+        self.assertEqual(0.5, answer.lifetime_s)
+        self.assertGreater(known.answer(CALLERS[0], 0.0).lifetime_s, 0.5)
+
 
 class LeavingTest(unittest.TestCase):
     """Check that leaving entries are named to nobody."""
--- a/packages/savoryyoke/tests/routing/support.py
+++ b/packages/savoryyoke/tests/routing/support.py
@@ -80,8 +80,8 @@
 
 
 def dispatch(routed, call_id, target_id, *, now_s, **changes):
-    """Tell a router that a call was sent."""
-    routed.apply(
+    """Tell a router that a call was sent; return the decisions."""
+    return routed.apply(
         events.Dispatched(call_id=call_id, target_id=target_id, **changes),
         now_s=now_s,
     )
--- a/packages/savoryyoke/tests/routing/test_router.py
+++ b/packages/savoryyoke/tests/routing/test_router.py
@@ -72,6 +72,30 @@
         later = support.choose_many(routed, count=300, now_s=90.0)
         self.assertGreater(later['target-3'], 10)
 
+    def test_target_that_fails_at_once_is_avoided(self):
+        """Avoid an idle target whose calls fail, and try it again."""
+        routed = support.make_router()
+        support.warm(routed, running=8)
+        routed.apply(support.make_report(3, stamp_s=101.0), now_s=0.0)
+        before = support.choose_many(routed, count=300)
+        support.dispatch(routed, 'call', 'target-3', now_s=0.0)
+        (rejected,) = support.dispatch(routed, 'call', 'target-5', now_s=0.0)
+        self.assertEqual(
+            decisions.RejectionReason.DUPLICATE_CALL, rejected.reason
+        )
+        failed = events.Completed(
+            call_id='call', outcome=events.Outcome.FAILED, latency_s=0.01
+        )
+        routed.apply(failed, now_s=0.0)
+        after = support.choose_many(routed, count=300)
+        self.assertGreater(before['target-3'], 30)
+        self.assertLess(after['target-3'], 10)
+        for number in range(12):
+            report = support.make_report(number, stamp_s=190.0)
+            routed.apply(report, now_s=90.0)
+        later = support.choose_many(routed, count=300, now_s=90.0)
+        self.assertGreater(later['target-3'], 10)
+
 
 class ModelTest(unittest.TestCase):
     """Check that requests go where their model is loaded."""
