Learn the fleet from whoever probes, and ask the suspected on waking

Cause: (1) a process that boots while the list of VMs is unavailable knew nobody: its peers reached it, but it kept no unknown sender. (2) A woken detector gave its old suspicions time but put them to nobody, and declared a member failed that had refuted while it was paused. Ruled out for (2): the new sampling of members in answers to joining processes; it only moved the seeds. Change: an unknown sender is asked to introduce itself while there is no list, and answers to joining processes name the answering members too; a waking process probes all members that it suspects. Replaced check: the paused-detector scenario now loses what is sent to the stopped process, runs seeds 2 to 7 instead of 2, and demands that the mutant is caught by each of them.

--- a/packages/savoryyoke/savoryyoke/membership/aggregate.py
+++ b/packages/savoryyoke/savoryyoke/membership/aggregate.py
@@ -108,12 +108,16 @@
                 )
         if message.sender_id == self.record.vm_id:
             return tuple(made)
+        # A process that started without a list asks whoever reaches it.
+        is_unknown = self.member(message.sender_id) is None
         changes, correction = self._roster.merge_sender(
             message, now_s=now_s, health=self._health
         )
         made.extend(changes)
         made.extend(self._composer.read(message, event.address))
         made.extend(self._answer(message, event.address, correction, now_s))
+        if is_unknown and not self._roster.has_list:
+            made.append(self._introduce(message.sender_id, event.address))
         return tuple(made)
 
     @apply.register
@@ -216,6 +220,8 @@
     def _(self, message: messages.Ping, address, correction, now_s):
         first = [correction] if correction else []
         if message.joining:
+            first.append(self.record)
+            first.extend(self._sample_answering(message.sender_id))
             first.extend(self._sample_gone())
         fields = self._composer.compose(
             record=self.record, first=first, is_full=message.joining
@@ -345,10 +351,12 @@
         return () if vm_id is None else self._probe(vm_id, now_s)
 
     def _refresh(self, now_s):
+        chosen = self._roster.table.choose(count=self._settings.refresh_probes)
+        # Suspicions from before a pause are put to their members anew, who
+        # may have refuted them in the meantime.
+        suspected = self._roster.suspected_ids()
         made = []
-        for vm_id in self._roster.table.choose(
-            count=self._settings.refresh_probes
-        ):
+        for vm_id in dict.fromkeys((*suspected, *chosen)):
             made.extend(self._probe(vm_id, now_s))
         return made
 
@@ -386,6 +394,21 @@
         )
         return decisions.Send(address=address, message=message)
 
+    def _introduce(self, vm_id, address):
+        """Ask an unknown process what it is and whom it knows."""
+        message = messages.Ping(
+            sequence=self._ledger.next_sequence(),
+            joining=True,
+            **self._composer.compose(record=self.record, first=[self.record]),
+        )
+        return decisions.Send(address=address, message=message)
+
+    def _sample_answering(self, joining_id):
+        chosen = self._roster.table.choose_answering(
+            count=self._settings.joining_sample, without=(joining_id,)
+        )
+        return [self.member(vm_id) for vm_id in chosen]
+
     def _sample_gone(self):
         chosen = self._roster.table.choose_gone(
             count=self._settings.joining_sample
--- a/packages/savoryyoke/savoryyoke/membership/roster.py
+++ b/packages/savoryyoke/savoryyoke/membership/roster.py
@@ -115,6 +115,10 @@
         update = dataclasses.replace(known, state=MemberState.SUSPECT)
         return self._accept(update, known, now_s, health)
 
+    def suspected_ids(self):
+        """Return the members whose time to refute is running."""
+        return tuple(self._deadlines_by_id)
+
     def extend(self, vm_id, *, now_s, health):
         """Give a suspected member that answered the full time to refute."""
         if vm_id in self._deadlines_by_id:
@@ -137,9 +141,7 @@
         for vm_id in overdue:
             known = self.table.get(vm_id)
             update = dataclasses.replace(known, state=MemberState.FAILED)
-            made.extend(
-                self._accept(update, known, now_s, health, is_timed=True)
-            )
+            made.extend(self._accept(update, known, now_s, health))
         return made
 
     def forget(self, *, now_s):
@@ -172,7 +174,7 @@
     def _deadline_s(self, now_s, health):
         return now_s + self._settings.suspicion_s * health.factor
 
-    def _accept(self, update, known, now_s, health, *, is_timed=False):
+    def _accept(self, update, known, now_s, health):
         vm_id = update.vm_id
         self.table.put(update, now_s=now_s)
         # A first incarnation spreads by contact: after a start of the whole
@@ -184,7 +186,7 @@
             and known.state == update.state == MemberState.ALIVE
         )
         if not is_contact:
-            self._spread(update, is_timed=is_timed)
+            self._spread(update, is_news=not _was_accused(update, known))
         if update.state == MemberState.SUSPECT:
             self._deadlines_by_id.setdefault(
                 vm_id, self._deadline_s(now_s, health)
@@ -193,16 +195,14 @@
             self._deadlines_by_id.pop(vm_id, None)
         return tuple(self._describe(update, known))
 
-    def _spread(self, update, *, is_timed):
+    def _spread(self, update, *, is_news):
         transmissions = self.transmissions()
-        if is_timed:
+        if not is_news:
             transmissions = self._settings.failure_transmissions
         # Whoever reads the same VM list needs no profile.
         if update.vm_id in self._lists or update.state in members.GONE:
             update = members.without_profile(update)
-        self._queue.add(
-            update, transmissions=transmissions, is_news=not is_timed
-        )
+        self._queue.add(update, transmissions=transmissions, is_news=is_news)
 
     def _describe(self, update, known):
         names = {'vm_id': update.vm_id, 'incarnation': update.incarnation}
@@ -282,6 +282,17 @@
     )
 
 
+def _was_accused(update, known):
+    # Those who heard of a suspicion time the failure themselves, so that
+    # its report need not travel as widely.
+    return (
+        known is not None
+        and known.incarnation in (0, update.incarnation)
+        and known.state == MemberState.SUSPECT
+        and update.state in (MemberState.SUSPECT, MemberState.FAILED)
+    )
+
+
 def _is_newly_usable(update, known):
     return (
         known is None
--- a/packages/savoryyoke/tests/membership/network.py
+++ b/packages/savoryyoke/tests/membership/network.py
@@ -41,7 +41,8 @@
                 return
             resume_s = self._paused_until_s.get(address, 0.0)
             if resume_s > self.now_s:
-                self.call_at(resume_s + 1e-6, run)
+                # A woken process may tick before it reads its buffer.
+                self.call_at(resume_s, run)
                 return
             tick(self.now_s)
             self.call_at(self.now_s + period_s, run)
@@ -90,7 +91,8 @@
         resume_s = self._paused_until_s.get(destination, 0.0)
         if resume_s > self.now_s:
             self._count += 1
-            heapq.heappush(self._queue, (resume_s, self._count, item))
+            item = (resume_s + 1e-6, self._count, item)
+            heapq.heappush(self._queue, item)
             return
         receive = self._receivers.get(destination)
         if receive is not None:
--- a/packages/savoryyoke/tests/membership/test_failure_detection.py
+++ b/packages/savoryyoke/tests/membership/test_failure_detection.py
@@ -64,6 +64,9 @@
     ]
 
 
+WAKE_SEEDS = (2, 3, 4, 5, 6, 7)
+
+
 class FleetOfTwoYearsOnTest(unittest.TestCase):
     """Test 350 entries and 1,300 targets; seed 1."""
 
@@ -96,9 +99,9 @@
 class PausedDetectorTest(unittest.TestCase):
     """Test processes that were not run for a while."""
 
-    def wake_with_an_old_suspicion(self, kind):
+    def wake_with_an_old_suspicion(self, kind, seed):
         """Pause a detector while it suspects a member that then answers."""
-        fleet = start(seed=2, kind=kind)
+        fleet = start(seed=seed, kind=kind)
         net = fleet.network
         subject = fleet.vms_by_id['target-4'].address
         detector = fleet.vms_by_id['entry-1'].address
@@ -111,27 +114,35 @@
         )
         while not fleet.members_by_id['entry-1'].member('target-4').state:
             net.run(net.now_s + 0.05)
-        net.is_blocked = lambda source, destination: False
+        # What is sent to a stopped process may be lost with its buffer, so
+        # that nothing which waits there refutes the suspicion.
+        net.is_blocked = lambda source, destination: destination == detector
         net.pause(detector, 10.0)
-        net.run(net.now_s + 20)
+        net.run(net.now_s + 10)
+        net.is_blocked = lambda source, destination: False
+        net.run(net.now_s + 10)
         return fleet
 
     def test_wakes_without_declaring_anybody_failed(self):
-        fleet = self.wake_with_an_old_suspicion(None)
-        log = [made for _, made in fleet.logs_by_id['entry-1']]
-        self.assertIn(decisions.SelfDoubted(reason='paused'), log)
-        self.assertIn(decisions.SelfConfirmed(), log)
-        self.assertFalse(
-            [d for d in log if isinstance(d, decisions.MemberFailed)]
-        )
-        self.assertEqual(not_alive(fleet), [])
+        for seed in WAKE_SEEDS:
+            with self.subTest(seed=seed):
+                fleet = self.wake_with_an_old_suspicion(None, seed)
+                log = [made for _, made in fleet.logs_by_id['entry-1']]
+                self.assertIn(decisions.SelfDoubted(reason='paused'), log)
+                self.assertIn(decisions.SelfConfirmed(), log)
+                self.assertFalse(
+                    [d for d in log if isinstance(d, decisions.MemberFailed)]
+                )
+                self.assertEqual(not_alive(fleet), [])
 
     def test_catches_a_detector_that_trusts_old_evidence(self):
-        fleet = self.wake_with_an_old_suspicion(WithoutGapDetection)
-        log = [made for _, made in fleet.logs_by_id['entry-1']]
-        self.assertTrue(
-            [d for d in log if isinstance(d, decisions.MemberFailed)]
-        )
+        for seed in WAKE_SEEDS:
+            fleet = self.wake_with_an_old_suspicion(WithoutGapDetection, seed)
+            log = [made for _, made in fleet.logs_by_id['entry-1']]
+            with self.subTest(seed=seed):
+                self.assertTrue(
+                    [d for d in log if isinstance(d, decisions.MemberFailed)]
+                )
 
     @PROFILE
     @hypothesis.given(
