Spread configuration and membership between the daemons

Cause: each daemon watched the platform by itself, which 1,650 processes cannot, and a daemon that booted in an outage had no configuration.

--- /dev/null
+++ b/packages/savoryyoke-edge/savoryyoke_edge/control/judge.py
@@ -0,0 +1,60 @@
+"""Judge configurations and keep the parsed form of the accepted ones."""
+
+import collections
+import dataclasses
+
+from savoryyoke.configuration import documents
+from savoryyoke.configuration import schema
+from savoryyoke.propagation import judgements
+
+KEPT = 4
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class AppliedConfiguration:
+    """Hold the configuration in force and its revisions."""
+
+    configuration: schema.Configuration
+    base_revision: int
+    overlay_revision: int
+    digest: str
+    confirmed: bool
+
+    @property
+    def revision_text(self):
+        """Return the revisions as one word."""
+        return f'{self.base_revision}.{self.overlay_revision}'
+
+
+class Judge:
+    """Judge pairs of texts for ``propagation``."""
+
+    def __init__(self):
+        self._configurations_by_digest = collections.OrderedDict()
+
+    def __call__(self, base_text, overlay_text):
+        """Return ``judgements.Accepted`` or ``judgements.Refused``."""
+        outcome = documents.build(base_text, overlay_text)
+        if isinstance(outcome, documents.Refused):
+            faults = tuple(str(fault) for fault in outcome.faults)
+            return judgements.Refused(faults=faults)
+        self._configurations_by_digest[outcome.digest] = outcome.configuration
+        while len(self._configurations_by_digest) > KEPT:
+            self._configurations_by_digest.popitem(last=False)
+        return judgements.Accepted(digest=outcome.digest)
+
+    def build_applied(self, decision):
+        """Return the ``AppliedConfiguration`` of a decision to apply."""
+        configuration = self._configurations_by_digest.get(decision.digest)
+        if configuration is None:
+            outcome = documents.build(
+                decision.base_text, decision.overlay_text
+            )
+            configuration = outcome.configuration
+        return AppliedConfiguration(
+            configuration=configuration,
+            base_revision=decision.base_revision,
+            overlay_revision=decision.overlay_revision,
+            digest=decision.digest,
+            confirmed=decision.is_confirmed,
+        )
--- /dev/null
+++ b/packages/savoryyoke-edge/savoryyoke_edge/control/plane.py
@@ -0,0 +1,321 @@
+"""Tie membership and the spread of configuration to this process."""
+
+import functools
+
+import anyio
+import anyio.abc
+import numpy
+
+from savoryyoke.membership import aggregate as membership_aggregate
+from savoryyoke.membership import conf as membership_conf
+from savoryyoke.membership import decisions as membership_decisions
+from savoryyoke.membership import events as membership_events
+from savoryyoke.membership import messages as membership_messages
+from savoryyoke.propagation import aggregate as propagation_aggregate
+from savoryyoke.propagation import events as propagation_events
+from savoryyoke_edge.control import conf
+from savoryyoke_edge.control import exchange
+from savoryyoke_edge.control import gossip
+from savoryyoke_edge.control import judge
+from savoryyoke_edge.control import sockets
+from savoryyoke_edge.control import spread
+from savoryyoke_edge import exceptions
+from savoryyoke_edge import logs
+from savoryyoke_edge.settings import addresses
+
+ENTRY = 'entry'
+TARGET = 'target'
+_UP = frozenset(
+    {
+        membership_messages.MemberState.ALIVE,
+        membership_messages.MemberState.LEAVING,
+        membership_messages.MemberState.SUSPECT,
+    }
+)
+
+
+class ControlPlane:
+    """Own this process's part in the control of the fleet.
+
+    ``owner`` is told of news through ``on_applied(applied)``,
+    ``on_vms(vm_list)``, ``on_member(decision)`` and
+    ``on_attachments(vm_id, attachments)``.
+    """
+
+    def __init__(self, *, settings, role, hello, reader, clock, owner):
+        self._settings = settings
+        self._role = role
+        self._hello = hello
+        self._reader = reader
+        self._clock = clock
+        self._owner = owner
+        self._judge = judge.Judge()
+        self._gossip = None
+        self._exchange = None
+        self._spread = None
+        self._tasks = None
+        self.address = ''
+        self.applied = None
+        self.vm_list = None
+        self.reports = 0
+        self.refused_revisions = ()
+
+    @property
+    def membership(self):
+        """Return the membership aggregate, for queries."""
+        return self._gossip.membership
+
+    @property
+    def is_doubting(self):
+        """Tell whether this process cannot trust its own view."""
+        return self._gossip is None or self.membership.is_doubting
+
+    @property
+    def sent_bytes(self):
+        """Return the bytes of datagrams sent so far."""
+        return self._gossip.sent_bytes if self._gossip else 0
+
+    @property
+    def received_bytes(self):
+        """Return the bytes of datagrams received so far."""
+        return self._gossip.received_bytes if self._gossip else 0
+
+    async def bind(self):
+        """Take the control address; call it before ``run``."""
+        socket, listener = await sockets.bind(self._settings.control_address)
+        host, port = socket.extra(anyio.abc.SocketAttribute.local_address)
+        advertised = self._settings.advertised_control_address
+        self.address = str(
+            advertised or addresses.Address(host=host, port=port)
+        )
+        self._gossip = gossip.Gossip(
+            socket=socket,
+            membership=self._build_membership(),
+            clock=self._clock,
+            tick_s=membership_conf.DEFAULTS.tick_s,
+            on_decision=self._carry_out,
+        )
+        self._exchange = exchange.Exchange(
+            listener=listener, hello=self._hello, on_request=self._answer
+        )
+
+    def _build_membership(self):
+        return membership_aggregate.Membership(
+            vm_id=self._settings.vm_id,
+            role=self._role,
+            data_centre=self._settings.data_centre,
+            address=self.address,
+            incarnation=self._hello.incarnation,
+            generator=numpy.random.default_rng(self._settings.seed),
+        )
+
+    async def run(self):
+        """Take part until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            self._spread = spread.Spread(
+                propagation=self._build_propagation(),
+                reader=self._reader,
+                exchange=self._exchange,
+                find_address=self._find_address,
+                tasks=tasks,
+                clock=self._clock,
+                owner=self,
+            )
+            tasks.start_soon(self._gossip.run)
+            tasks.start_soon(self._exchange.run)
+            tasks.start_soon(self._spread.run)
+            tasks.start_soon(self._watch_vms)
+
+    def _build_propagation(self):
+        return propagation_aggregate.Propagation(
+            vm_id=self._settings.vm_id,
+            role=self._role,
+            data_centre=self._settings.data_centre,
+            site=self._settings.site,
+            sites=(self._settings.site,),
+            judge=self._judge,
+        )
+
+    def start_leaving(self):
+        """Tell the others that this process gets ready to stop."""
+        self._gossip.feed(membership_events.LeaveRequested())
+
+    async def leave(self):
+        """Tell the others that this process has stopped."""
+        self._gossip.feed(membership_events.Stopped())
+        await self._gossip.flush()
+
+    def attach(self, attachments):
+        """Let messages to the others carry these payloads."""
+        self._gossip.feed(
+            membership_events.AttachmentsChanged(attachments=attachments)
+        )
+
+    def apply_configuration(self, decision):
+        """Put a configuration into force in this process."""
+        self.applied = self._judge.build_applied(decision)
+        logs.write_event(
+            'configuration_applied',
+            revision=self.applied.revision_text,
+            digest=self.applied.digest,
+            confirmed=self.applied.confirmed,
+        )
+        self._owner.on_applied(self.applied)
+
+    def report(self, report):
+        """Tell the operators of a fault in what was read or received."""
+        self.reports += 1
+        if report.kind.value == 'refused':
+            self.refused_revisions = (
+                *self.refused_revisions[-7:],
+                f'{report.name}.{report.revision}',
+            )
+        logs.write_event(
+            f'configuration_{report.kind.value}',
+            level='error',
+            name=report.name,
+            revision=report.revision,
+            detail=report.detail,
+        )
+
+    def send_summary(self, versions):
+        """Let messages to the others carry these versions."""
+        self._gossip.feed(membership_events.VersionsChanged(versions=versions))
+
+    def _find_address(self, vm_id):
+        member = self.membership.member(vm_id)
+        return member.address if member is not None else None
+
+    def _answer(self, request, reply):
+        if self._spread is not None:
+            self._spread.answer(request, reply)
+
+    async def _watch_vms(self):
+        period_s = conf.TARGET_VM_LIST_PERIOD_S
+        if self._role == ENTRY:
+            period_s = conf.ENTRY_VM_LIST_PERIOD_S
+        while True:
+            try:
+                vm_list = await self._reader.read_vms()
+            except exceptions.PlatformUnavailable as error:
+                logs.write_event(
+                    'vm_list_unavailable', level='warning', reason=str(error)
+                )
+                await anyio.sleep(conf.VM_LIST_RETRY_S)
+                continue
+            self._take_vms(vm_list)
+            # A list without this process is from before it was listed.
+            listed = any(
+                vm.vm_id == self._settings.vm_id for vm in vm_list.vms
+            )
+            await anyio.sleep(period_s if listed else conf.VM_LIST_RETRY_S)
+
+    def _take_vms(self, vm_list):
+        known = self.vm_list
+        if known is not None and vm_list.sequence == known.sequence:
+            return
+        event = membership_events.VmListRead(
+            sequence=vm_list.sequence,
+            entries=tuple(
+                membership_events.VmEntry(
+                    vm_id=vm.vm_id,
+                    role=vm.role,
+                    data_centre=vm.data_centre,
+                    address=vm.control_address,
+                    state=vm.state,
+                )
+                for vm in vm_list.vms
+            ),
+        )
+        made = self.membership.apply(event, now_s=self._clock())
+        for decision in made:
+            self._carry_out(decision)
+        if any(
+            isinstance(item, membership_decisions.VmListRefused)
+            for item in made
+        ):
+            return
+        self.vm_list = vm_list
+        logs.write_event(
+            'vm_list_applied', sequence=vm_list.sequence, vms=len(vm_list.vms)
+        )
+        self._owner.on_vms(vm_list)
+
+    @functools.singledispatchmethod
+    def _carry_out(self, decision):
+        """Report a change of one member."""
+        logs.write_event(
+            _name_event(decision),
+            vm=decision.vm_id,
+            incarnation=f'{decision.incarnation:016x}',
+        )
+        self._owner.on_member(decision)
+        self._change_peers()
+
+    @_carry_out.register
+    def _(self, decision: membership_decisions.VmListRefused):
+        logs.write_event(
+            'vm_list_refused',
+            level='error',
+            sequence=decision.sequence,
+            faults='; '.join(str(fault) for fault in decision.faults),
+        )
+
+    @_carry_out.register
+    def _(self, decision: membership_decisions.SelfDoubted):
+        logs.write_event(
+            'self_doubted', level='warning', reason=decision.reason
+        )
+
+    @_carry_out.register
+    def _(self, decision: membership_decisions.SelfConfirmed):
+        logs.write_event('self_confirmed')
+        self._change_peers()
+
+    @_carry_out.register
+    def _(self, decision: membership_decisions.SummaryReceived):
+        if decision.versions and self._spread is not None:
+            self._spread.feed(
+                propagation_events.SummaryReceived(
+                    vm_id=decision.vm_id, versions=decision.versions
+                )
+            )
+        if decision.attachments:
+            self._owner.on_attachments(decision.vm_id, decision.attachments)
+
+    def _change_peers(self):
+        if self._spread is None:
+            return
+        peers = tuple(
+            propagation_events.Peer(
+                vm_id=member.vm_id,
+                role=member.role,
+                data_centre=member.data_centre,
+            )
+            for member in self.membership.members()
+            if member.state in _UP
+        )
+        self._spread.feed(propagation_events.PeersChanged(peers=peers))
+
+
+def _name_event(decision):
+    """Return ``member_failed`` for ``MemberFailed``, and so on."""
+    name = type(decision).__name__.removeprefix('Member').lower()
+    return f'member_{name}'
+
+
+def get_revision(plane):
+    """Return the revision in force as one word, empty without one."""
+    return plane.applied.revision_text if plane.applied else ''
+
+
+def describe_configuration(plane):
+    """Return what operators may see of the configuration."""
+    applied = plane.applied
+    return {
+        'revision': get_revision(plane),
+        'digest': applied.digest if applied else '',
+        'confirmed': bool(applied and applied.confirmed),
+        'refused_revisions': list(plane.refused_revisions),
+    }
--- /dev/null
+++ b/packages/savoryyoke-edge/savoryyoke_edge/control/sockets.py
@@ -0,0 +1,29 @@
+"""Bind a UDP socket and a TCP listener at one address."""
+
+import anyio
+
+from savoryyoke_edge.control import conf
+
+
+async def bind(address):
+    """Return a UDP socket and a TCP listener with the same port.
+
+    With port 0 the kernel chooses one that is free for both. Raise
+    ``OSError`` where there is none.
+    """
+    for _ in range(conf.BIND_TRIES):
+        socket = await anyio.create_udp_socket(
+            local_host=address.host, local_port=address.port
+        )
+        host, port = socket.extra(anyio.abc.SocketAttribute.local_address)
+        try:
+            listener = await anyio.create_tcp_listener(
+                local_host=host, local_port=port
+            )
+        except OSError:
+            await socket.aclose()
+            if address.port:
+                raise
+            continue
+        return socket, listener
+    raise OSError(f'no port at {address.host} is free for UDP and TCP')
--- a/packages/savoryyoke-edge/savoryyoke_edge/settings/checks.py
+++ b/packages/savoryyoke-edge/savoryyoke_edge/settings/checks.py
@@ -24,22 +24,27 @@
 @check.register
 def _check_entry(settings: schema.EntrySettings):
     yield from _check_admin(settings)
-    yield from _check_advertised(
-        settings.listen_address,
-        settings.advertised_address,
-        'advertised_address',
-    )
     yield from _check_advertised(
         settings.control_address,
         settings.advertised_control_address,
         'advertised_control_address',
     )
+    yield from _check_advertised(
+        settings.listen_address,
+        settings.advertised_address,
+        'advertised_address',
+    )
     yield from _check_suspicion(settings)
 
 
 @check.register
 def _check_target(settings: schema.TargetSettings):
     yield from _check_admin(settings)
+    yield from _check_advertised(
+        settings.control_address,
+        settings.advertised_control_address,
+        'advertised_control_address',
+    )
     yield from _check_advertised(
         settings.listen_address,
         settings.advertised_address,
--- a/packages/savoryyoke-edge/savoryyoke_edge/settings/schema.py
+++ b/packages/savoryyoke-edge/savoryyoke_edge/settings/schema.py
@@ -84,6 +84,20 @@
             ' address is not a loopback address.'
         ),
     )
+    control_address: ListenAddress = pydantic.Field(
+        default=conf.ANY_PORT,
+        description=(
+            'UDP and TCP address for messages between all processes,'
+            ' host:port; port 0 lets the kernel choose.'
+        ),
+    )
+    advertised_control_address: PeerAddress | None = pydantic.Field(
+        default=None,
+        description=(
+            'Control address that other processes are told to use,'
+            ' host:port; unset means the bound address.'
+        ),
+    )
     log_level: LogLevel = pydantic.Field(
         default=LogLevel.INFO,
         description='Least severe level that is logged.',
@@ -138,17 +152,6 @@
             ' bound address.'
         ),
     )
-    control_address: ListenAddress = pydantic.Field(
-        default=conf.ANY_PORT,
-        description='UDP address for messages between entries, host:port.',
-    )
-    advertised_control_address: PeerAddress | None = pydantic.Field(
-        default=None,
-        description=(
-            'UDP address that other entries are told to use, host:port; unset'
-            ' means the bound address.'
-        ),
-    )
     suspicion_timeout_s: Timeout = pydantic.Field(
         default=conf.SUSPICION_TIMEOUT_S,
         description='Silence in seconds after which a peer is suspected.',
--- a/packages/savoryyoke-entry/savoryyoke_entry/daemon.py
+++ b/packages/savoryyoke-entry/savoryyoke_entry/daemon.py
@@ -11,8 +11,7 @@
 from savoryyoke.calls import conf as calls_conf
 from savoryyoke.configuration import routes
 from savoryyoke_edge import admin
-from savoryyoke_edge import configurations
-from savoryyoke_edge import exceptions as edge_exceptions
+from savoryyoke_edge.control import plane
 from savoryyoke_edge import logs
 from savoryyoke_edge import platform
 from savoryyoke_edge import problems
@@ -42,9 +41,8 @@
         self._draining = False
         self._table = None
         self._teams = {}
-        self._vm_list = None
         self._application = None
-        self._configuration = None
+        self._plane = None
         self._pauses = None
         self._address = ''
         self.attempt_limits = calls_conf.AttemptLimits()
@@ -56,7 +54,8 @@
         """Tell whether callers may be sent here."""
         return (
             self._table is not None
-            and self._vm_list is not None
+            and self._plane.vm_list is not None
+            and not self._plane.is_doubting
             and not self._draining
             and self.fleet.links_up > 0
         )
@@ -67,8 +66,6 @@
 
     def build_status(self):
         """Return what operators may see."""
-        applied = self._configuration.applied
-        refused = self._configuration.refused
         return {
             'role': 'entry',
             'vm_id': self._settings.vm_id,
@@ -80,9 +77,9 @@
             'in_flight': self._application.in_flight,
             'targets_connected': self.fleet.links_up,
             'targets_known': self.fleet.links_wanted,
-            'revision': _format_revision(applied),
-            'digest': applied.digest if applied else '',
-            'refused_revision': _format_revision(refused),
+            'members': len(self._plane.membership.members()),
+            'doubting': self._plane.is_doubting,
+            **plane.describe_configuration(self._plane),
         }
 
     def observe_pause(self):
@@ -118,7 +115,7 @@
             )
         rows = [
             vm
-            for vm in self._vm_list.vms
+            for vm in self._plane.vm_list.vms
             if vm.role == 'entry' and vm.state == 'live'
         ]
         rows.sort(
@@ -166,16 +163,18 @@
                 tasks=tasks,
                 clock=self._clock,
             )
-            self._configuration = configurations.ConfigurationWatch(
+            self._plane = plane.ControlPlane(
+                settings=self._settings,
+                role=plane.ENTRY,
+                hello=self._build_hello(),
                 reader=self._reader,
-                site=self._settings.site,
                 clock=self._clock,
-                on_applied=self._apply_configuration,
+                owner=self,
             )
             self._metrics.register_state(
                 application=self._application,
                 fleet=self.fleet,
-                configuration=self._configuration,
+                plane=self._plane,
             )
             await self._serve(tasks)
             tasks.cancel_scope.cancel()
@@ -195,9 +194,9 @@
             ),
             header_timeout_s=conf.ADMIN_HEADER_TIMEOUT_S,
         )
+        await self._plane.bind()
         self._announce(listener, admin_listener)
-        tasks.start_soon(self._configuration.run)
-        tasks.start_soon(self._watch_vms)
+        tasks.start_soon(self._plane.run)
         tasks.start_soon(self._watch_pauses)
         tasks.start_soon(self._watch_signals)
         tasks.start_soon(_serve_http, admin_server, admin_listener)
@@ -217,6 +216,7 @@
             incarnation=f'{self._incarnation:016x}',
             address=f'{host}:{port}',
             admin_address=f'{admin_host}:{admin_port}',
+            control_address=self._plane.address,
         )
 
     def _build_hello(self):
@@ -228,7 +228,19 @@
             data_centre=self._settings.data_centre,
         )
 
-    def _apply_configuration(self, applied):
+    def on_vms(self, vm_list):
+        """Follow the platform's list of VMs."""
+        self.fleet.apply_vms(vm_list)
+
+    def on_member(self, decision):
+        """Follow a change of a member."""
+        self.fleet.apply_member(decision)
+
+    def on_attachments(self, vm_id, attachments):
+        """Take payloads of another process."""
+
+    def on_applied(self, applied):
+        """Follow the configuration in force."""
         configuration = applied.configuration
         self._table = routes.RouteTable(configuration=configuration)
         self._teams = configuration.teams_by_name
@@ -239,26 +251,6 @@
         )
         self.fleet.apply_configuration(applied)
 
-    async def _watch_vms(self):
-        while True:
-            try:
-                self._take_vms(await self._reader.read_vms())
-            except edge_exceptions.PlatformUnavailable as error:
-                logs.write_event(
-                    'vm_list_refused', level='warning', reason=str(error)
-                )
-            await anyio.sleep(conf.VM_LIST_PERIOD_S)
-
-    def _take_vms(self, vm_list):
-        known = self._vm_list
-        if known is not None and vm_list.sequence <= known.sequence:
-            return
-        self._vm_list = vm_list
-        logs.write_event(
-            'vm_list_applied', sequence=vm_list.sequence, vms=len(vm_list.vms)
-        )
-        self.fleet.apply_vms(vm_list)
-
     async def _watch_pauses(self):
         while True:
             self.observe_pause()
@@ -275,6 +267,7 @@
     async def _drain(self, server):
         """Serve on while callers keep old answers, then finish and return."""
         self._draining = True
+        self._plane.start_leaving()
         logs.write_event('drain_started', vm=self._settings.vm_id)
         await anyio.sleep(conf.DIRECTORY_LIFETIME_S)
         with anyio.move_on_after(self._settings.drain_timeout_s):
@@ -285,6 +278,7 @@
             vm=self._settings.vm_id,
             in_flight=self._application.in_flight,
         )
+        await self._plane.leave()
         server.should_exit = True
 
 
@@ -297,9 +291,3 @@
         not operation.idempotent
         for operation in service.operations_by_name.values()
     )
-
-
-def _format_revision(decision):
-    if not decision:
-        return ''
-    return f'{decision.revision.base}.{decision.revision.overlay}'
--- a/packages/savoryyoke-entry/savoryyoke_entry/fleet.py
+++ b/packages/savoryyoke-entry/savoryyoke_entry/fleet.py
@@ -9,6 +9,7 @@
 from savoryyoke.calls.ledger import snapshots
 from savoryyoke.calls import routes
 from savoryyoke.configuration import schema as configuration_schema
+from savoryyoke.membership import decisions as membership_decisions
 from savoryyoke.retries import aggregates as retry_aggregates
 from savoryyoke.retries import conf as retry_conf
 from savoryyoke.routing import events as routing_events
@@ -131,7 +132,7 @@
             if data_centre.state is configuration_schema.DataCentreState.OUT
         )
         event = routing_events.ConfigurationApplied(
-            revision=applied.revision.base + applied.revision.overlay,
+            revision=applied.base_revision + applied.overlay_revision,
             data_centres_out=out,
         )
         for service in self._services_by_name.values():
@@ -154,6 +155,11 @@
             del self._rows_by_target_id[target_id]
             self._drop_link(target_id)
 
+    def apply_member(self, decision):
+        """Follow what membership says of a target's process."""
+        if isinstance(decision, membership_decisions.MemberLeaving):
+            self._report_leaving(decision.vm_id)
+
     def _ensure_service(self, name):
         service = self._services_by_name.get(name)
         if service is None:
--- a/packages/savoryyoke-entry/savoryyoke_entry/metrics.py
+++ b/packages/savoryyoke-entry/savoryyoke_entry/metrics.py
@@ -27,7 +27,7 @@
         self._requests.labels(service, operation, outcome).inc()
         self._durations.labels(service, operation).observe(duration_s)
 
-    def register_state(self, *, application, fleet, configuration):
+    def register_state(self, *, application, fleet, plane):
         """Register gauges that read the state when they are collected."""
         gauges = {
             'savoryyoke_entry_in_flight': (
@@ -42,9 +42,17 @@
                 'Targets that should have a connection.',
                 lambda: fleet.links_wanted,
             ),
-            'savoryyoke_entry_configurations_refused': (
-                'Configurations that were refused since the start.',
-                lambda: configuration.refusals,
+            'savoryyoke_entry_configuration_reports': (
+                'Faults found in configurations since the start.',
+                lambda: plane.reports,
+            ),
+            'savoryyoke_entry_control_sent_bytes': (
+                'Bytes of control datagrams sent since the start.',
+                lambda: plane.sent_bytes,
+            ),
+            'savoryyoke_entry_control_received_bytes': (
+                'Bytes of control datagrams received since the start.',
+                lambda: plane.received_bytes,
             ),
         }
         for name, (text, read) in gauges.items():
--- a/packages/savoryyoke-fakes/savoryyoke_fakes/fleets.py
+++ b/packages/savoryyoke-fakes/savoryyoke_fakes/fleets.py
@@ -118,6 +118,7 @@
         self.processes_by_name = {}
         self.addresses_by_name = {}
         self.admin_addresses_by_name = {}
+        self.control_addresses_by_name = {}
         self._leaving = set()
 
     def __enter__(self):
@@ -153,6 +154,7 @@
             self._launch_backend(vm_id)
         self._await_stand_in('platform')
         self.publish('base', self._base_text)
+        self.publish('overlay/demo', '')
         for vm_id, place in self._targets_by_id.items():
             self._await_stand_in(f'{vm_id}.backend')
             self._report(f'starting target {vm_id} ({place.service})')
@@ -228,15 +230,18 @@
         fields = self.processes_by_name[vm_id].wait_for_event(event)
         self.addresses_by_name[vm_id] = fields['address']
         self.admin_addresses_by_name[vm_id] = fields['admin_address']
+        self.control_addresses_by_name[vm_id] = fields['control_address']
 
     def _build_flags(self, vm_id, data_centre):
         address = self.addresses_by_name.get(vm_id, '127.0.0.1:0')
+        control = self.control_addresses_by_name.get(vm_id, '127.0.0.1:0')
         platform = self.addresses_by_name['platform']
         return (
             f'--vm-id={vm_id}',
             f'--data-centre={data_centre}',
             '--site=demo',
             f'--listen-address={address}',
+            f'--control-address={control}',
             f'--platform-url=http://{platform}',
         )
 
@@ -250,13 +255,18 @@
         process.start()
 
     def publish(self, name, text):
-        """Publish a value through the platform stand-in."""
-        self._control('publish', {'name': name, 'text': text})
+        """Publish a value and return its revision."""
+        answer = self._control('publish', {'name': name, 'text': text})
+        return answer.document['revision']
 
     def set_platform_down(self, down):
         """Switch the platform's service off or on."""
         self._control('faults', {'down': down})
 
+    def set_stale(self, stale):
+        """Let the platform answer with the oldest values, or stop it."""
+        self._control('faults', {'stale': stale})
+
     def publish_vms(self):
         """Publish the list of VMs as it stands now."""
         rows = [
@@ -287,11 +297,12 @@
             'data_centre': place.data_centre,
             'state': 'leaving' if place.vm_id in self._leaving else 'live',
             'address': self.addresses_by_name[place.vm_id],
+            'control_address': self.control_addresses_by_name[place.vm_id],
         }
 
     def _control(self, action, body):
         address = self.addresses_by_name['platform']
-        clients.call('POST', address, f'/control/{action}', body=body)
+        return clients.call('POST', address, f'/control/{action}', body=body)
 
     def read_status(self, name):
         """Return the status of a daemon."""
--- a/packages/savoryyoke-fakes/savoryyoke_fakes/platform.py
+++ b/packages/savoryyoke-fakes/savoryyoke_fakes/platform.py
@@ -20,6 +20,8 @@
         self._sequence = 0
         self._vms = []
         self._down = False
+        self._stale = False
+        self._first_values_by_name = {}
         self._calls = 0
 
     async def handle(self, request):
@@ -43,9 +45,12 @@
         name = request.path.removeprefix('/v1/values/')
         after = int(request.query_by_name.get('after', 0))
         wait_s = float(request.query_by_name.get('wait_s', 0))
-        with anyio.move_on_after(wait_s):
+        with anyio.move_on_after(0 if self._stale else wait_s):
             while self._get_revision(name) <= after:
                 await self._changed.wait()
+        if self._stale:
+            await request.send_json(self._first_values_by_name[name])
+            return
         if self._get_revision(name) <= after:
             await request.start(304, b'application/json')
             await request.send_part(b'', last=True)
@@ -65,7 +70,8 @@
             self._sequence += 1
             self._vms = body['vms']
         elif request.path == '/control/faults':
-            self._down = bool(body['down'])
+            self._down = bool(body.get('down', self._down))
+            self._stale = bool(body.get('stale', self._stale))
         await request.send_json(
             {'revision': self._revision, 'calls': self._calls}
         )
@@ -76,6 +82,7 @@
             'revision': self._revision,
             'text': text,
         }
+        self._first_values_by_name.setdefault(name, self._values_by_name[name])
         self._changed.set()
         self._changed = anyio.Event()
 
--- a/packages/savoryyoke-target/savoryyoke_target/daemon.py
+++ b/packages/savoryyoke-target/savoryyoke_target/daemon.py
@@ -13,8 +13,8 @@
 from savoryyoke.calls import conf as calls_conf
 from savoryyoke.calls.ledger import authority
 from savoryyoke_edge import admin
-from savoryyoke_edge import configurations
 from savoryyoke_edge import connections
+from savoryyoke_edge.control import plane
 from savoryyoke_edge import exceptions as edge_exceptions
 from savoryyoke_edge import logs
 from savoryyoke_edge import platform
@@ -51,15 +51,13 @@
         self._ledger = None
         self._dispatcher = None
         self._keyed_calls = None
-        self._configuration = None
-        self._vm_list = None
+        self._plane = None
         self._reader = platform.PlatformReader(url=settings.platform_url)
 
     @property
     def ready(self):
         """Tell whether entries may send work here."""
-        applied = self._configuration and self._configuration.applied
-        return applied is not None and not self._draining
+        return self._plane.applied is not None and not self._draining
 
     def start_drain(self):
         """Begin the planned stop of this process."""
@@ -68,7 +66,6 @@
     def build_status(self):
         """Return what operators may see."""
         load = self._admission.snapshot()
-        applied = self._configuration and self._configuration.applied
         return {
             'role': 'target',
             'target_id': self._settings.target_id,
@@ -82,7 +79,9 @@
             'limit': load.concurrency_limit,
             'cold': load.cold,
             'records': self._ledger.record_count,
-            'revision': _format_revision(applied),
+            'members': len(self._plane.membership.members()),
+            'doubting': self._plane.is_doubting,
+            **plane.describe_configuration(self._plane),
         }
 
     async def run(self):
@@ -122,11 +121,13 @@
             clock=self._clock,
         )
         self._keyed_calls.attach(self._dispatcher.feed_admission)
-        self._configuration = configurations.ConfigurationWatch(
+        self._plane = plane.ControlPlane(
+            settings=self._settings,
+            role=plane.TARGET,
+            hello=self._build_hello(),
             reader=self._reader,
-            site=self._settings.site,
             clock=self._clock,
-            on_applied=self._apply_configuration,
+            owner=self,
         )
         metrics.register(
             self._registry,
@@ -149,9 +150,9 @@
             ),
             header_timeout_s=conf.ADMIN_HEADER_TIMEOUT_S,
         )
+        await self._plane.bind()
         self._announce(listener, admin_socket)
-        tasks.start_soon(self._configuration.run)
-        tasks.start_soon(self._watch_vms)
+        tasks.start_soon(self._plane.run)
         tasks.start_soon(self._tick)
         tasks.start_soon(self._report_load)
         tasks.start_soon(self._watch_signals)
@@ -170,10 +171,21 @@
             incarnation=f'{self._incarnation:016x}',
             address=f'{address[0]}:{address[1]}',
             admin_address=f'{admin_address[0]}:{admin_address[1]}',
+            control_address=self._plane.address,
             backend=self._settings.backend_url,
         )
 
-    def _apply_configuration(self, applied):
+    def on_vms(self, vm_list):
+        """Take a list of VMs; the plane keeps it for the choice of heirs."""
+
+    def on_member(self, decision):
+        """Take a change of a member, which changes nothing here."""
+
+    def on_attachments(self, vm_id, attachments):
+        """Take payloads of another process, which change nothing here."""
+
+    def on_applied(self, applied):
+        """Follow the configuration in force."""
         services = applied.configuration.services_by_name
         service = services.get(self._settings.service)
         if service is None:
@@ -238,7 +250,6 @@
     def _build_load(self):
         now_s = self._clock()
         load = self._admission.snapshot()
-        applied = self._configuration.applied
         return messages.Load(
             sent_ms=int(now_s * 1000),
             running=load.running,
@@ -256,7 +267,7 @@
                 )
                 for stamp in self._ledger.stamps(now_s=now_s)
             ),
-            revision=_format_revision(applied),
+            revision=plane.get_revision(self._plane),
         )
 
     async def _report_load(self):
@@ -281,20 +292,10 @@
                 logs.write_event('signal_received', signal=received.name)
                 self.start_drain()
 
-    async def _watch_vms(self):
-        """Remember who could be the heir, in case the platform goes down."""
-        while True:
-            try:
-                self._vm_list = await self._reader.read_vms()
-            except edge_exceptions.PlatformUnavailable as error:
-                logs.write_event(
-                    'vm_list_refused', level='warning', reason=str(error)
-                )
-            await anyio.sleep(conf.VM_LIST_PERIOD_S)
-
     async def _drain(self, tasks):
         """Take no new work, finish what runs, then return."""
         self._draining = True
+        self._plane.start_leaving()
         logs.write_event('drain_started', target=self._settings.target_id)
         self._send_load()
         await self._depart(tasks)
@@ -310,6 +311,7 @@
             target=self._settings.target_id,
             unfinished=self._dispatcher.unfinished,
         )
+        await self._plane.leave()
 
     def _is_busy(self):
         """Tell whether a call runs or the heir still waits for a record."""
@@ -327,16 +329,17 @@
         await departure.run(await self._find_heirs())
 
     async def _find_heirs(self):
+        vm_list = self._plane.vm_list
         with anyio.move_on_after(conf.HEIR_CONNECT_TIMEOUT_S):
             try:
-                self._vm_list = await self._reader.read_vms()
+                vm_list = await self._reader.read_vms()
             except edge_exceptions.PlatformUnavailable:
                 logs.write_event('vm_list_old', level='warning')
-        if self._vm_list is None:
+        if vm_list is None:
             return ()
         return tuple(
             row
-            for row in self._vm_list.vms
+            for row in vm_list.vms
             if row.role == 'target'
             and row.service == self._settings.service
             and row.state == 'live'
@@ -350,9 +353,3 @@
 
 async def _serve_admin(server, listener):
     await server.serve(sockets=[listener])
-
-
-def _format_revision(applied):
-    if not applied:
-        return ''
-    return f'{applied.revision.base}.{applied.revision.overlay}'
--- a/packages/savoryyoke-wire/savoryyoke_wire/codec.py
+++ b/packages/savoryyoke-wire/savoryyoke_wire/codec.py
@@ -61,9 +61,15 @@
     tuple[messages.Header, ...]: _make_structure(
         messages.Header, limit=conf.HEADERS_LIMIT
     ),
+    tuple[messages.CrashReport, ...]: _make_structure(
+        messages.CrashReport, limit=conf.CRASH_REPORTS_LIMIT
+    ),
     tuple[messages.Stamp, ...]: _make_structure(
         messages.Stamp, limit=conf.LIST_LIMIT
     ),
+    tuple[messages.Version, ...]: _make_structure(
+        messages.Version, limit=conf.LIST_LIMIT
+    ),
 }
 
 
--- a/packages/savoryyoke-wire/savoryyoke_wire/messages.py
+++ b/packages/savoryyoke-wire/savoryyoke_wire/messages.py
@@ -36,6 +36,20 @@
     service: str = ''
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CrashReport:
+    """Describe one crash of one back end.
+
+    ``fingerprints`` and ``cleared`` hold digests of
+    ``conf.CRASH_DIGEST_BYTES`` each, one after the other.
+    """
+
+    crash_id: str
+    fingerprints: bytes
+    cleared: bytes
+    remaining_ms: int
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Call:
     """Offer one attempt of a caller's request to a target."""
@@ -63,6 +77,7 @@
     seal_only: bool = False
     attempt: str = ''
     number: int = 0
+    crash_reports: tuple[CrashReport, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -120,6 +135,7 @@
     handed_over: bool = False
     holds_for_ms: int = 0
     status: int = 0
+    crash_reports: tuple[CrashReport, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -146,6 +162,7 @@
     kv_free: float = 1.0
     stamps: tuple[Stamp, ...] = ()
     revision: str = ''
+    crash_reports: tuple[CrashReport, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -196,6 +213,58 @@
     data: bytes
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Version:
+    """Name one revision of a document by its digest."""
+
+    name: str
+    revision: int
+    digest: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class StateRequest:
+    """Ask a process what it holds and what is in force at a site."""
+
+    request_id: int
+    site: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class StateAnswer:
+    """Answer a ``StateRequest``."""
+
+    request_id: int
+    held: tuple[Version, ...] = ()
+    in_force: tuple[Version, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class DocumentRequest:
+    """Ask a process for one revision of a document."""
+
+    request_id: int
+    name: str
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Document:
+    """Carry one revision of a document; ``content`` is UTF-8."""
+
+    request_id: int
+    name: str
+    revision: int
+    content: bytes
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class DocumentRefusal:
+    """Tell a process to fetch a document elsewhere."""
+
+    request_id: int
+
+
 Message = (
     Hello
     | Call
@@ -211,4 +280,9 @@
     | HandoverAnswer
     | HeirNamed
     | RecordTransfer
+    | StateRequest
+    | StateAnswer
+    | DocumentRequest
+    | Document
+    | DocumentRefusal
 )
--- a/packages/savoryyoke-wire/savoryyoke_wire/protocol.capnp
+++ b/packages/savoryyoke-wire/savoryyoke_wire/protocol.capnp
@@ -19,6 +19,15 @@
   service @5 :Text;            # empty for an entry
 }
 
+# One crash of one back end. The digests of requests are 8 bytes each, one
+# after the other.
+struct CrashReport {
+  crashId @0 :Text;
+  fingerprints @1 :Data;       # requests in flight at the crash
+  cleared @2 :Data;            # those that succeeded since
+  remainingMs @3 :UInt32;      # how long the evidence is still kept
+}
+
 struct Call {
   callId @0 :UInt64;           # unique within the connection
   service @1 :Text;
@@ -43,6 +52,7 @@
   sealOnly @20 :Bool;          # close the key; never start a run
   attempt @21 :Text;           # the entry's identifier of the attempt
   number @22 :UInt16;          # counts the messages of the attempt
+  crashReports @23 :List(CrashReport);  # of a suspect request
 }
 
 struct Cancel {
@@ -89,6 +99,7 @@
   handedOver @5 :Bool;         # the back end may have seen the call
   holdsForMs @6 :UInt32;       # how long a 'not run' holds after the request
   status @7 :UInt16;           # of an answer that is no longer kept
+  crashReports @8 :List(CrashReport);   # of a crash that broke the call
 }
 
 # The clock of one incarnation's ledger, and the target that answers for it.
@@ -110,6 +121,7 @@
   kvFree @7 :Float64;          # ratio of free KV memory
   stamps @8 :List(Stamp);
   revision @9 :Text;           # configuration in force at the sender
+  crashReports @10 :List(CrashReport);  # news first, then all in turn
 }
 
 # Sends an entry's message on to the heir of a target that left.
@@ -146,6 +158,40 @@
   data @0 :Data;               # JSON of one record
 }
 
+struct Version {
+  name @0 :Text;
+  revision @1 :UInt64;
+  digest @2 :UInt64;
+}
+
+struct StateRequest {
+  requestId @0 :UInt64;
+  site @1 :Text;
+}
+
+struct StateAnswer {
+  requestId @0 :UInt64;
+  held @1 :List(Version);
+  inForce @2 :List(Version);   # empty, or those of base and overlay
+}
+
+struct DocumentRequest {
+  requestId @0 :UInt64;
+  name @1 :Text;
+  revision @2 :UInt64;
+}
+
+struct Document {
+  requestId @0 :UInt64;
+  name @1 :Text;
+  revision @2 :UInt64;
+  content @3 :Data;            # UTF-8
+}
+
+struct DocumentRefusal {
+  requestId @0 :UInt64;
+}
+
 struct Envelope {
   union {
     hello @0 :Hello;
@@ -162,5 +208,10 @@
     handoverAnswer @11 :HandoverAnswer;
     heirNamed @12 :HeirNamed;
     recordTransfer @13 :RecordTransfer;
+    stateRequest @14 :StateRequest;
+    stateAnswer @15 :StateAnswer;
+    documentRequest @16 :DocumentRequest;
+    document @17 :Document;
+    documentRefusal @18 :DocumentRefusal;
   }
 }
--- a/packages/savoryyoke-wire/tests/test_codec.py
+++ b/packages/savoryyoke-wire/tests/test_codec.py
@@ -17,7 +17,7 @@
 from savoryyoke_wire import versions
 
 EXAMPLES = 300
-_LAST_MEMBER = 'recordTransfer @13 :RecordTransfer;'
+_LAST_MEMBER = 'documentRefusal @18 :DocumentRefusal;'
 FIXED = hypothesis.settings(
     derandomize=True, deadline=None, max_examples=EXAMPLES
 )
@@ -69,8 +69,17 @@
                 ),
             ),
         )
+        report = messages.CrashReport(
+            crash_id='t1-1',
+            fingerprints=b'x' * 16,
+            cleared=b'x' * 8,
+            remaining_ms=3_600_000,
+        )
         refusal = messages.Refusal(
-            call_id=1, outcome=messages.Outcome.MAY_HAVE_RUN, reason='x'
+            call_id=1,
+            outcome=messages.Outcome.MAY_HAVE_RUN,
+            reason='x',
+            crash_reports=(report,) * conf.CRASH_REPORTS_LIMIT,
         )
         for message in (CALL, HELLO, load, refusal):
             with self.subTest(message=message):
@@ -109,7 +118,7 @@
         text = current.read_text()
         self.assertIn(_LAST_MEMBER, text)
         later = text.replace(
-            _LAST_MEMBER, _LAST_MEMBER + ' added @14 :RecordTransfer;'
+            _LAST_MEMBER, _LAST_MEMBER + ' added @19 :RecordTransfer;'
         ).replace('@0xd6a1f0b3c5e79284', '@0xd6a1f0b3c5e79285')
         with tempfile.TemporaryDirectory() as directory:
             path = pathlib.Path(directory, 'later.capnp')
--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,73 @@
+"""Prove with real processes that configuration is in force everywhere."""
+
+from savoryyoke_fakes import fleets
+from tests import support
+
+BOUND_S = 19.0
+OVERLAY_REVISION = 2
+NEW_TEAM = '  surveyors: {weight: 1.0}\n'
+DAEMONS = tuple(place.vm_id for place in fleets.ENTRIES + fleets.TARGETS)
+
+
+class ConfigurationTests(support.FleetTestCase):
+    """Test changes, refusals and outages of the configuration service."""
+
+    def setUp(self):
+        """Publish the usual file and remember what is in force."""
+        super().setUp()
+        self.fleet.set_platform_down(False)
+
+    def read_revisions(self):
+        """Return the set of revisions in force over all daemons."""
+        return {self.fleet.read_status(vm_id)['revision'] for vm_id in DAEMONS}
+
+    def publish_and_wait(self, text):
+        """Publish a base and wait until it is in force everywhere."""
+        started_s = support.time.monotonic()
+        revision = self.fleet.publish('base', text)
+        wanted = {f'{revision}.{OVERLAY_REVISION}'}
+        support.wait_until(lambda: self.read_revisions() == wanted)
+        return support.time.monotonic() - started_s
+
+    def test_change_is_in_force_everywhere_within_the_bound(self):
+        elapsed_s = self.publish_and_wait(fleets.BASE_TEXT + NEW_TEAM)
+        self.assertLess(elapsed_s, BOUND_S)
+        digests = {
+            self.fleet.read_status(vm_id)['digest'] for vm_id in DAEMONS
+        }
+        self.assertEqual(1, len(digests))
+
+    def test_invalid_file_is_refused_and_the_last_good_one_stays(self):
+        self.publish_and_wait(fleets.BASE_TEXT)
+        before = self.read_revisions()
+        self.fleet.publish('base', 'schema_version: 1\nteams: {}\n')
+        entry = fleets.ENTRIES[0].vm_id
+        support.wait_until(
+            lambda: self.fleet.read_status(entry)['refused_revisions']
+        )
+        self.assertEqual(before, self.read_revisions())
+        self.assertEqual(200, self.client.look_up().status)
+        self.publish_and_wait(fleets.BASE_TEXT + NEW_TEAM)
+
+    def test_daemon_that_boots_in_an_outage_learns_from_its_peers(self):
+        self.publish_and_wait(fleets.BASE_TEXT + NEW_TEAM)
+        before = self.read_revisions()
+        self.fleet.set_platform_down(True)
+        target = fleets.TARGETS[0].vm_id
+        self.fleet.processes_by_name[target].kill()
+        self.fleet.start_target(target)
+        # A peer's probe is how the booting process is found: the list of
+        # VMs is down as well.
+        status = self.fleet.wait_for_status(target, confirmed=True)
+        self.assertEqual(before, {status['revision']})
+        self.fleet.set_platform_down(False)
+
+    def test_stale_platform_does_not_turn_the_fleet_back(self):
+        self.publish_and_wait(fleets.BASE_TEXT + NEW_TEAM)
+        before = self.read_revisions()
+        self.fleet.set_stale(True)
+        self.fleet.processes_by_name[fleets.ENTRIES[0].vm_id].kill()
+        self.fleet.start_entry(fleets.ENTRIES[0].vm_id)
+        self.fleet.wait_for_status(fleets.ENTRIES[0].vm_id, confirmed=True)
+        self.assertEqual(before, self.read_revisions())
+        self.fleet.set_stale(False)
