Keep each message of the commands on one printable line

Change: messages are escaped where they are printed; a TypeError while arguments are bound is wrong usage.

Seen to fail: without either change test_mistakes is red.

--- a/packages/savoryyoke-edge/savoryyoke_edge/command_line/binding.py
+++ b/packages/savoryyoke-edge/savoryyoke_edge/command_line/binding.py
@@ -77,6 +77,9 @@
         raise exceptions.CommandError(
             problem=f'{name}: {_describe_exit(error)}; {hint}'
         ) from None
+    except TypeError:
+        # Fire went into a member of the result, and could not call it.
+        result = None
     if result is not _BOUND or len(calls) != 1:
         raise exceptions.CommandError(
             problem=f'{name}: too many arguments; {hint}'
--- a/packages/savoryyoke-edge/savoryyoke_edge/command_line/runner.py
+++ b/packages/savoryyoke-edge/savoryyoke_edge/command_line/runner.py
@@ -109,15 +109,23 @@
         print(line)
     sys.stdout.flush()
     for problem in result.problems:
-        print(problem, file=sys.stderr)
+        print(_keep_on_line(problem), file=sys.stderr)
 
 
 def _report(program, problems, status):
     for problem in problems:
-        print(f'{program}: {problem}', file=sys.stderr)
+        print(f'{program}: {_keep_on_line(problem)}', file=sys.stderr)
     return int(status)
 
 
+def _keep_on_line(text):
+    """Escape what would end the line or steer a terminal."""
+    return ''.join(
+        character if character.isprintable() else repr(character)[1:-1]
+        for character in text
+    )
+
+
 def _describe(error):
     error = _unwrap(error)
     frames = traceback.extract_tb(error.__traceback__)[-FRAMES_SHOWN:]
