--- /dev/null
+++ b/packages/savoryyoke-target/tests/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the binary of the target process."""
