Fix the daemons' use of the ledger and its stamps

Cause: the ledger's author read the daemons and found that the stamp of a payment was taken after its body (a slow body ran after a refusal), that calls parked during a failed handover had no body to run, that an invalid key crashed the entry's reader, that an abandoned call was freed twice, and that a lost heir was noticed only by a timeout. Ruled out: taking the stamp when the connection is accepted (kept-alive connections carry many requests). Change: the arrival is noted with the head of the request; offers are kept by attempt; Released frees a place; the heir's connection is watched and made anew.

--- a/packages/savoryyoke-entry/savoryyoke_entry/application.py
+++ b/packages/savoryyoke-entry/savoryyoke_entry/application.py
@@ -30,12 +30,16 @@
         """Serve one ASGI request."""
         if scope['type'] != 'http':
             return
-        doubtful = self._daemon.observe_pause()
-        now_s = self._clock()
+        arrival = keyed.note_arrival(
+            scope,
+            routes=self._daemon.fleet.routes,
+            doubtful=self._daemon.observe_pause(),
+            now_s=self._clock(),
+        )
         self.in_flight += 1
         caller = callers.Caller(receive=receive, send=send)
         try:
-            await self._serve(scope, receive, caller, doubtful, now_s)
+            await self._serve(scope, receive, caller, arrival)
         except exceptions.CallerGone:
             logs.write_event('caller_gone', path=scope['path'])
         except Exception as error:
@@ -52,17 +56,17 @@
         self._daemon.count_request('', '', 'internal-error', 0.0)
         await caller.send_problem(problems.Problem(name='internal-error'))
 
-    async def _serve(self, scope, receive, caller, doubtful, now_s):
+    async def _serve(self, scope, receive, caller, arrival):
         if scope['path'] == conf.DIRECTORY_PATH:
             await self._send_directory(scope, caller)
             return
         try:
-            request = await self._read(scope, receive, now_s)
+            request = await self._read(scope, receive, arrival.at_s)
         except exceptions.RequestRefused as refusal:
             await self._refuse(scope, caller, refusal.problem)
             return
         call_id = f'{self._prefix}-{next(self._numbers)}'
-        outcome = await self._answer(request, caller, call_id, doubtful)
+        outcome = await self._answer(request, caller, call_id, arrival)
         logs.write_event(
             'request_ended',
             call=call_id,
@@ -70,13 +74,13 @@
             operation=request.route.operation_name,
             team=request.team_name,
             outcome=outcome,
-            duration_s=self._clock() - now_s,
+            duration_s=self._clock() - arrival.at_s,
         )
         self._daemon.count_request(
             request.route.service_name,
             request.route.operation_name,
             outcome,
-            self._clock() - now_s,
+            self._clock() - arrival.at_s,
         )
 
     async def _send_directory(self, scope, caller):
@@ -107,7 +111,7 @@
         self._daemon.count_request('', '', problem.name, 0.0)
         await caller.send_problem(problem)
 
-    async def _answer(self, request, caller, call_id, doubtful):
+    async def _answer(self, request, caller, call_id, arrival):
         """Run the request beside a watch on its caller."""
         result = 'caller-gone'
         async with anyio.create_task_group() as tasks:
@@ -116,7 +120,7 @@
                 tasks.start_soon(_cancel_when_gone, caller, tasks.cancel_scope)
                 relay = self._build_relay(request, caller, call_id)
             else:
-                relay = self._build_keyed(request, caller, call_id, doubtful)
+                relay = self._build_keyed(request, caller, call_id, arrival)
             result = await relay.run()
             tasks.cancel_scope.cancel()
         return result
@@ -126,11 +130,12 @@
             request=request,
             caller=caller,
             service=self._daemon.fleet.services[request.route.service_name],
+            suspect_requests=self._daemon.fleet.suspects,
             clock=self._clock,
             call_id=call_id,
         )
 
-    def _build_keyed(self, request, caller, call_id, doubtful):
+    def _build_keyed(self, request, caller, call_id, arrival):
         return keyed.KeyedRelay(
             request=request,
             caller=caller,
@@ -139,7 +144,7 @@
             limits=self._daemon.attempt_limits,
             clock=self._clock,
             attempt_id=call_id,
-            doubtful=doubtful,
+            arrival=arrival,
         )
 
 
--- a/packages/savoryyoke-entry/savoryyoke_entry/keyed.py
+++ b/packages/savoryyoke-entry/savoryyoke_entry/keyed.py
@@ -1,5 +1,6 @@
 """Carry one attempt of a non-idempotent request to its bound target."""
 
+import dataclasses
 import functools
 
 import anyio
@@ -19,6 +20,35 @@
 from savoryyoke_wire import messages
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Arrival:
+    """Hold what was so when the head of a request was read.
+
+    ``stamp_ms`` is the newest stamp held for its key, 0 without one. Read
+    later, with the body, it might be newer than a refusal of the key.
+    """
+
+    at_s: float
+    doubtful: bool
+    stamp_ms: int
+
+
+def note_arrival(scope, *, routes, doubtful, now_s):
+    """Return the ``Arrival`` of a request whose head was just read."""
+    stamp_ms = 0
+    for name, value in scope['headers']:
+        if name == conf.KEY_HEADER.encode():
+            stamp_ms = _find_stamp_ms(value.decode('latin-1'), routes)
+    return Arrival(at_s=now_s, doubtful=doubtful, stamp_ms=stamp_ms)
+
+
+def _find_stamp_ms(text, routes):
+    try:
+        return routes.find_stamp_ms(keys.parse(text))
+    except calls_exceptions.InvalidKey:
+        return 0
+
+
 class KeyedRelay:
     """Own one attempt of a non-idempotent request.
 
@@ -36,7 +66,7 @@
         limits,
         clock,
         attempt_id,
-        doubtful,
+        arrival,
     ):
         self._request = request
         self._caller = caller
@@ -45,7 +75,7 @@
         self._limits = limits
         self._clock = clock
         self._attempt_id = attempt_id
-        self._doubtful = doubtful
+        self._arrival = arrival
         self._attempt = None
         self._tasks = None
         self._outcome = None
@@ -77,16 +107,16 @@
             team=self._request.team_name,
             target=target_id,
             reason='heir' if target_id != key.target_id else 'key',
-            doubtful=self._doubtful,
+            doubtful=self._arrival.doubtful,
         )
         return machine.Attempt(
             attempt_id=self._attempt_id,
             key=key,
             fingerprint=self._request.fingerprint,
             target_id=target_id,
-            stamp_ms=self._fleet.routes.find_stamp_ms(key),
+            stamp_ms=self._arrival.stamp_ms,
             deadline_s=self._request.deadline_s,
-            is_doubtful=self._doubtful,
+            is_doubtful=self._arrival.doubtful,
             carried=self._carried,
             limits=self._limits,
         )
--- a/packages/savoryyoke-target/savoryyoke_target/departures.py
+++ b/packages/savoryyoke-target/savoryyoke_target/departures.py
@@ -32,6 +32,7 @@
         self._feed = feed
         self._broadcast = broadcast
         self._connection = None
+        self._address = ''
         self._answered = None
         self._accepted = False
         self._export_number = 0
@@ -58,20 +59,17 @@
 
     async def _try_heir(self, row):
         try:
-            connection, early = await connections.connect(
-                address=addresses.parse_peer_address(row.address),
-                hello=self._hello,
-                timeout_s=conf.HEIR_CONNECT_TIMEOUT_S,
-            )
+            connection, early = await self._connect(row.address)
         except (edge_exceptions.ConnectionLost, ValueError) as error:
             logs.write_event(
                 'heir_unreachable', heir=row.vm_id, reason=str(error)
             )
             return False
-        self._connection = connection
+        self._address = row.address
         self._answered = anyio.Event()
         self._accepted = False
-        self._tasks.start_soon(connection.run, self._receive, early)
+        self._connection = connection
+        self._tasks.start_soon(self._serve, connection, early)
         heir = ledger_snapshots.Heir(
             target_id=connection.peer.process_id,
             incarnation=connection.peer.incarnation,
@@ -86,6 +84,27 @@
             )
         return self._accepted
 
+    async def _connect(self, address):
+        return await connections.connect(
+            address=addresses.parse_peer_address(address),
+            hello=self._hello,
+            timeout_s=conf.HEIR_CONNECT_TIMEOUT_S,
+        )
+
+    async def _serve(self, connection, early):
+        """Serve the heir's connection; make it anew while it is needed."""
+        await connection.run(self._receive, early)
+        self._answered.set()
+        while self._accepted:
+            await anyio.sleep(conf.HEIR_RETRY_S)
+            try:
+                connection, early = await self._connect(self._address)
+            except edge_exceptions.ConnectionLost:
+                continue
+            self._connection = connection
+            self._feed(ledger_events.HeirReconnected())
+            await connection.run(self._receive, early)
+
     def _receive(self, message):
         if not isinstance(message, messages.HandoverAnswer):
             return
--- a/packages/savoryyoke-target/savoryyoke_target/keyed_calls.py
+++ b/packages/savoryyoke-target/savoryyoke_target/keyed_calls.py
@@ -32,16 +32,20 @@
 class KeyedCalls:
     """Own the ledger of this process and the calls that it admitted."""
 
-    def __init__(self, *, ledger, backend, tasks, clock, backend_timeout_s):
+    def __init__(
+        self, *, ledger, backend, guard, tasks, clock, backend_timeout_s
+    ):
         self._ledger = ledger
+        self._guard = guard
         self._backend = backend
         self._tasks = tasks
         self._clock = clock
         self._backend_timeout_s = backend_timeout_s
         self._attempts_by_message = {}
+        self._offers_by_attempt_id = {}
         self._calls_by_key = {}
         self._running_ids = set()
-        self._offered = None
+        self._starting_id = None
         self._feed_admission = None
         self._inheritance = inheritance.Inheritance()
         self._departure = None
@@ -63,11 +67,12 @@
         """Take an attempt, or the request to close its key."""
         try:
             key = keys.parse(call.key)
-        except calls_exceptions.InvalidKey as error:
+        except calls_exceptions.InvalidKey:
+            reason = outcomes.NotRunReason.UNBOUND_KEY
             refusal = messages.Refusal(
                 call_id=call.call_id,
                 outcome=messages.Outcome.NOT_RUN,
-                reason=f'invalid-key: {error}',
+                reason=reason.value,
             )
             session.send(refusal)
             return
@@ -77,7 +82,7 @@
         if call.seal_only:
             self._seal(key, call)
             return
-        self._offered = call
+        self._offers_by_attempt_id[call.attempt] = call
         self.feed(
             ledger_events.Offered(
                 key=key,
@@ -88,7 +93,6 @@
                 remaining_s=call.remaining_ms / 1000,
             )
         )
-        self._offered = None
 
     def _seal(self, key, call):
         self.feed(
@@ -124,9 +128,11 @@
     def start(self, call_id):
         """Run an admitted call, unless the ledger has closed its key."""
         key, _ = self._calls_by_key[call_id]
+        self._starting_id = call_id
         self.feed(ledger_events.HandOverRequested(key=key))
-        if not self._is_running(call_id):
-            self._release(call_id)
+        self._starting_id = None
+        if call_id not in self._running_ids:
+            self._feed_admission(admission_events.Released(call_id=call_id))
 
     def refuse(self, refusal):
         """Report to the ledger that admission refused a call."""
@@ -151,14 +157,15 @@
     @_carry_out.register
     def _(self, decision: ledger_decisions.Admit):
         call_id = decision.key.format()
-        self._calls_by_key[call_id] = (decision.key, self._offered)
-        arrival = arrivals.build_arrival(call_id, self._offered)
-        self._feed_admission(arrival)
+        call = self._offers_by_attempt_id[decision.attempt_id]
+        self._calls_by_key[call_id] = (decision.key, call)
+        self._feed_admission(arrivals.build_arrival(call_id, call))
 
     @_carry_out.register
     def _(self, decision: ledger_decisions.Abandon):
         call_id = decision.key.format()
-        if self._calls_by_key.pop(call_id, None) is not None:
+        known = self._calls_by_key.pop(call_id, None)
+        if known is not None and call_id != self._starting_id:
             self._feed_admission(admission_events.Cancelled(call_id=call_id))
 
     @_carry_out.register
@@ -169,15 +176,13 @@
 
     @_carry_out.register
     def _(self, decision: ledger_decisions.Respond):
-        message = (decision.attempt_id, decision.number)
-        attempt = self._attempts_by_message.pop(message, None)
+        attempt = self._take_attempt(decision)
         if attempt is not None:
             responses.send_outcome(attempt, decision.outcome)
 
     @_carry_out.register
     def _(self, decision: ledger_decisions.Redirect):
-        message = (decision.attempt_id, decision.number)
-        attempt = self._attempts_by_message.pop(message, None)
+        attempt = self._take_attempt(decision)
         if attempt is not None:
             responses.send_redirect(attempt, decision)
 
@@ -192,14 +197,11 @@
     def _(self, decision):
         self._departure.carry_out(decision)
 
-    def _is_running(self, call_id):
-        return call_id in self._running_ids
-
-    def _release(self, call_id):
-        """Free admission's place of a call that was never handed over."""
-        self._calls_by_key.pop(call_id, None)
-        self._feed_admission(admission_events.Cancelled(call_id=call_id))
-        self._finish_admission(call_id, succeeded=False, service_time_s=0.0)
+    def _take_attempt(self, decision):
+        """Return where the answer goes, None if its entry has gone."""
+        self._offers_by_attempt_id.pop(decision.attempt_id, None)
+        message = (decision.attempt_id, decision.number)
+        return self._attempts_by_message.pop(message, None)
 
     async def _run(self, call_id):
         key, call = self._calls_by_key[call_id]
@@ -221,9 +223,11 @@
             )
         except exceptions.NothingSent as error:
             _log_failure(key, error)
+            self._tasks.start_soon(self._guard.examine)
             return ledger_events.HandOverFailed(key=key), False
         except exceptions.AnswerLost as error:
             _log_failure(key, error)
+            self._tasks.start_soon(self._guard.examine)
             return ledger_events.HandOverLost(key=key), False
         answer = outcomes.Answer(status=status, headers=headers, body=body)
         event = ledger_events.Completed(key=key, answer=answer)
--- a/tests/test_payments.py
+++ b/tests/test_payments.py
@@ -1,9 +1,15 @@
 """Prove at-most-once runs and true answers with real processes."""
 
+import socket
+
 from savoryyoke_fakes import clients
 from savoryyoke_fakes import fleets
 from tests import support
 
+# A refusal covers what arrives within a second after it; then the entries'
+# stamps are newer than it.
+STAMPS_PASS_S = 2.5
+
 
 def read_target(key):
     """Return the target that a bound key names."""
@@ -99,7 +105,7 @@
         self.assertEqual('not-run', refused.outcome)
         self.fleet.start_backend(target)
         # The thawed entry finds stamps that are newer than the refusal.
-        support.time.sleep(1.0)
+        support.time.sleep(STAMPS_PASS_S)
         entry.thaw()
         answer = waiting.get()
         self.assertEqual((503, 'not-run'), (answer.status, answer.outcome))
@@ -117,6 +123,35 @@
         self.assertEqual(1, self.count_runs('patient'))
 
 
+class SlowCallerTests(support.FleetTestCase):
+    """Test a caller whose body arrives long after its headers."""
+
+    def test_body_that_comes_after_a_refusal_does_not_run(self):
+        addresses = self.fleet.entry_addresses
+        key = self.client.build_key(fleets.ACCOUNT, 'slow-body')
+        host, port = addresses[0].split(':')
+        body = b'{"reference": "slow-body", "cents": 100}'
+        head = (
+            'POST /v1/payments HTTP/1.1\r\nhost: x\r\nconnection: close\r\n'
+            f'savoryyoke-team: members\r\nidempotency-key: {key}\r\n'
+            'content-type: application/json\r\n'
+            f'content-length: {len(body)}\r\n\r\n'
+        )
+        with socket.create_connection((host, int(port))) as slow:
+            slow.settimeout(support.WAIT_S)
+            slow.sendall(head.encode())
+            backend = f'{read_target(key)}.backend'
+            self.fleet.processes_by_name[backend].kill()
+            refused = self.client.pay('slow-body', key, address=addresses[1])
+            self.assertEqual('not-run', refused.outcome)
+            self.fleet.start_backend(read_target(key))
+            support.time.sleep(STAMPS_PASS_S)
+            slow.sendall(body)
+            answer = slow.makefile('rb').read()
+        self.assertIn(b'"outcome": "not-run"', answer)
+        self.assertEqual(0, self.count_runs('slow-body'))
+
+
 class DeadTargetTests(support.FleetTestCase):
     """Test target processes and applications that die."""
 
