Take back targets and entries that were gone and are heard again

A list that loses a VM for a moment, or a partition that ends, would have kept healthy targets and entries unused.

Ruled out: a shorter time (still unused for that time). A sighting alone gives no work anyway: a target needs a connection and, beyond one call, a report; an entry must be heard.

Change: what is remembered of a gone incarnation is whether it was leaving, and that older ones are rejected.

--- a/packages/savoryyoke/savoryyoke/directory/directory.py
+++ b/packages/savoryyoke/savoryyoke/directory/directory.py
@@ -118,14 +118,15 @@
         self._forget_ended(now_s=now_s)
         known = self._states_by_id.get(event.entry_id)
         ended = self._ended_by_id.get(event.entry_id)
-        if ended is not None and event.incarnation <= ended[0]:
+        if ended is not None and event.incarnation < ended.incarnation:
             return _reject(event, decisions.RejectionReason.OLD_INCARNATION)
         if known is not None and event.incarnation < known.incarnation:
             return _reject(event, decisions.RejectionReason.OLD_INCARNATION)
         if known is None or event.incarnation > known.incarnation:
-            self._states_by_id[event.entry_id] = entries.EntryState(
-                seen=event, settings=self._settings
-            )
+            state = entries.EntryState(seen=event, settings=self._settings)
+            if ended is not None and event.incarnation == ended.incarnation:
+                state.leaving = ended.leaving
+            self._states_by_id[event.entry_id] = state
             self._view = None
         return ()
 
@@ -141,8 +142,12 @@
     def _(self, event: events.EntryGone, *, now_s):
         state, rejection = self._find(event)
         if state is not None:
-            until_s = now_s + self._settings.tombstone_lifetime_s
-            self._ended_by_id[event.entry_id] = (state.incarnation, until_s)
+            self._ended_by_id.pop(event.entry_id, None)
+            self._ended_by_id[event.entry_id] = entries.EndedEntry(
+                incarnation=state.incarnation,
+                leaving=state.leaving,
+                until_s=now_s + self._settings.tombstone_lifetime_s,
+            )
             del self._states_by_id[event.entry_id]
             self._view = None
         return rejection
@@ -216,8 +221,8 @@
         return None, _reject(event, reason)
 
     def _forget_ended(self, *, now_s):
-        for entry_id, (_, until_s) in tuple(self._ended_by_id.items()):
-            if until_s > now_s:
+        for entry_id, ended in tuple(self._ended_by_id.items()):
+            if ended.until_s > now_s:
                 break
             del self._ended_by_id[entry_id]
 
--- a/packages/savoryyoke/savoryyoke/directory/entries.py
+++ b/packages/savoryyoke/savoryyoke/directory/entries.py
@@ -1,12 +1,26 @@
 """Hold what is known about one entry of the fleet."""
 
 import bisect
+import dataclasses
 import math
 
 from savoryyoke.directory import decisions
 from savoryyoke.routing import lateness
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class EndedEntry:
+    """Remember the last incarnation of an entry that is gone.
+
+    An entry that was cut off for a while may come back, but one that was
+    leaving never stops leaving.
+    """
+
+    incarnation: int
+    leaving: bool
+    until_s: float
+
+
 class EntryState:
     """Track the reachability and the weight of an entry."""
 
--- a/packages/savoryyoke/savoryyoke/routing/registry.py
+++ b/packages/savoryyoke/savoryyoke/routing/registry.py
@@ -1,11 +1,20 @@
 """Hold the targets of a service and which of them may get work."""
 
+import dataclasses
+
 from savoryyoke.routing import decisions
 from savoryyoke.routing import rings
 from savoryyoke.routing import subsets
 from savoryyoke.routing import targets
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Ended:
+    incarnation: int
+    leaving: bool
+    until_s: float
+
+
 class TargetRegistry:
     """Track targets, data centres, peers and the connections they imply."""
 
@@ -38,7 +47,7 @@
         """Take up a target; return its state and why it is rejected."""
         self._forget_ended(now_s=now_s)
         ended = self._ended_by_id.get(seen.target_id)
-        if ended is not None and seen.incarnation <= ended[0]:
+        if ended is not None and seen.incarnation < ended.incarnation:
             return None, decisions.RejectionReason.OLD_INCARNATION
         known = self._states_by_id.get(seen.target_id)
         if known is not None and seen.incarnation < known.incarnation:
@@ -50,6 +59,8 @@
             distance_s=self._get_distance(seen.data_centre),
             settings=self._settings,
         )
+        if ended is not None and seen.incarnation == ended.incarnation:
+            state.leaving = ended.leaving
         self._states_by_id[seen.target_id] = state
         if known is not None:
             known.leaving = True
@@ -59,11 +70,16 @@
         return state, None
 
     def end(self, state, *, now_s):
-        """Drop a target and remember that its incarnation ended."""
-        lifetime_s = self._settings.tombstone_lifetime_s
-        self._ended_by_id[state.target_id] = (
-            state.incarnation,
-            now_s + lifetime_s,
+        """Drop a target and remember its last incarnation.
+
+        One that was lost from a list for a while may be seen again, but
+        never stops leaving.
+        """
+        self._ended_by_id.pop(state.target_id, None)
+        self._ended_by_id[state.target_id] = _Ended(
+            incarnation=state.incarnation,
+            leaving=state.leaving,
+            until_s=now_s + self._settings.tombstone_lifetime_s,
         )
         del self._states_by_id[state.target_id]
         # A later choice must not see it, also without a new plan.
@@ -72,8 +88,8 @@
         self.refresh()
 
     def _forget_ended(self, *, now_s):
-        for target_id, (_, until_s) in tuple(self._ended_by_id.items()):
-            if until_s > now_s:
+        for target_id, ended in tuple(self._ended_by_id.items()):
+            if ended.until_s > now_s:
                 break
             del self._ended_by_id[target_id]
 
