Act on every setting and field, or do without it

Cause: the author of the settings and the operators' file listed values that were accepted and that no daemon read; what operators accept must become true. Ruled out: keeping them for later (a value that does nothing misleads). Change: the warm-up pace, the platform timeout, idle time, connection limit, answer lifetime and answer size are wired; the memory of keys (idempotency part, E134), the suspicion timeout (E007), the configuration period and the target's advertised address are gone with their checks and the tests of these checks. Not yet acted on: models, ranks, experts, checks_fencing, replicas and the teams' limits.

--- a/packages/savoryyoke-edge/savoryyoke_edge/platform.py
+++ b/packages/savoryyoke-edge/savoryyoke_edge/platform.py
@@ -47,7 +47,8 @@
 class PlatformReader:
     """Read values and the VM list over HTTP."""
 
-    def __init__(self, *, url):
+    def __init__(self, *, url, timeout_s=CALL_TIMEOUT_S):
+        self._timeout_s = timeout_s
         self._url = url.rstrip('/')
         self._pool = httpcore.AsyncConnectionPool(max_connections=8)
 
@@ -57,7 +58,7 @@
         ``after_revision`` with ``wait_s`` makes the call a waiting watch.
         """
         path = f'/v1/values/{name}?after={after_revision}&wait_s={wait_s}'
-        body = await self._get(path, timeout_s=CALL_TIMEOUT_S + wait_s)
+        body = await self._get(path, timeout_s=self._timeout_s + wait_s)
         if body is None:
             return None
         try:
@@ -73,7 +74,7 @@
 
     async def read_vms(self):
         """Return the platform's current ``VmList``."""
-        body = await self._get('/v1/vms', timeout_s=CALL_TIMEOUT_S)
+        body = await self._get('/v1/vms', timeout_s=self._timeout_s)
         try:
             rows = tuple(Vm(**row) for row in body['vms'])
             return VmList(sequence=int(body['sequence']), vms=rows)
--- a/packages/savoryyoke-edge/savoryyoke_edge/servers.py
+++ b/packages/savoryyoke-edge/savoryyoke_edge/servers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 import socket
 
 import uvicorn
@@ -71,7 +72,13 @@
     return listener
 
 
-def build_server(application, *, header_timeout_s, drain_timeout_s=None):
+def build_server(
+    application,
+    *,
+    header_timeout_s,
+    idle_timeout_s=KEEP_ALIVE_S,
+    connection_limit=None,
+):
     """Return a server for the ASGI ``application``."""
     protocol = type(
         'TimedProtocol',
@@ -87,8 +94,8 @@
         log_config=None,
         server_header=False,
         date_header=False,
-        timeout_keep_alive=KEEP_ALIVE_S,
-        timeout_graceful_shutdown=drain_timeout_s,
+        timeout_keep_alive=math.ceil(idle_timeout_s),
+        limit_concurrency=connection_limit,
         backlog=BACKLOG,
     )
     return Server(config)
--- a/packages/savoryyoke-edge/savoryyoke_edge/settings/checks.py
+++ b/packages/savoryyoke-edge/savoryyoke_edge/settings/checks.py
@@ -2,7 +2,6 @@
 
 import functools
 
-from savoryyoke_edge.settings import conf
 from savoryyoke_edge.settings import exceptions
 from savoryyoke_edge.settings import schema
 
@@ -12,7 +11,6 @@
 INVALID = 'savoryyoke.E004'
 NOT_ADVERTISED = 'savoryyoke.E005'
 UNPROTECTED_ADMIN = 'savoryyoke.E006'
-HASTY_SUSPICION = 'savoryyoke.E007'
 
 
 @functools.singledispatch
@@ -24,32 +22,26 @@
 @check.register
 def _check_entry(settings: schema.EntrySettings):
     yield from _check_admin(settings)
-    yield from _check_advertised(
-        settings.control_address,
-        settings.advertised_control_address,
-        'advertised_control_address',
-    )
+    yield from _check_control(settings)
     yield from _check_advertised(
         settings.listen_address,
         settings.advertised_address,
         'advertised_address',
     )
-    yield from _check_suspicion(settings)
 
 
 @check.register
 def _check_target(settings: schema.TargetSettings):
     yield from _check_admin(settings)
+    yield from _check_control(settings)
+
+
+def _check_control(settings):
     yield from _check_advertised(
         settings.control_address,
         settings.advertised_control_address,
         'advertised_control_address',
     )
-    yield from _check_advertised(
-        settings.listen_address,
-        settings.advertised_address,
-        'advertised_address',
-    )
 
 
 def _check_admin(settings):
@@ -74,19 +66,6 @@
     )
 
 
-def _check_suspicion(settings):
-    least_s = settings.heartbeat_period_s * conf.HEARTBEATS_BEFORE_SUSPICION
-    if settings.suspicion_timeout_s >= least_s:
-        return
-    yield _fault(
-        HASTY_SUSPICION,
-        'suspicion_timeout_s',
-        f'{settings.suspicion_timeout_s} s is less than'
-        f' {conf.HEARTBEATS_BEFORE_SUSPICION} heartbeat periods',
-        f'Set it to {least_s} s or more',
-    )
-
-
 def _fault(id_, name, problem, hint):
     return exceptions.SettingsFault(
         id=id_,
--- a/packages/savoryyoke-edge/savoryyoke_edge/settings/meanings.py
+++ b/packages/savoryyoke-edge/savoryyoke_edge/settings/meanings.py
@@ -9,5 +9,4 @@
     checks.INVALID: 'A value has the wrong form or is out of bounds.',
     checks.NOT_ADVERTISED: 'Others could not connect to the address.',
     checks.UNPROTECTED_ADMIN: 'Anyone could drain the process.',
-    checks.HASTY_SUSPICION: 'Few lost heartbeats would raise suspicion.',
 }
--- a/packages/savoryyoke-edge/savoryyoke_edge/settings/schema.py
+++ b/packages/savoryyoke-edge/savoryyoke_edge/settings/schema.py
@@ -108,10 +108,6 @@
             'Time in seconds that a planned stop waits for requests in flight.'
         ),
     )
-    heartbeat_period_s: Period = pydantic.Field(
-        default=conf.HEARTBEAT_PERIOD_S,
-        description='Time in seconds between two heartbeats to a peer.',
-    )
     platform_timeout_s: Timeout = pydantic.Field(
         default=conf.PLATFORM_TIMEOUT_S,
         description=(
@@ -119,13 +115,6 @@
             ' take, beyond the wait that a watch asks for.'
         ),
     )
-    configuration_period_s: Period = pydantic.Field(
-        default=conf.CONFIGURATION_PERIOD_S,
-        description=(
-            'Least time in seconds between two calls of the configuration'
-            ' service by this process.'
-        ),
-    )
     seed: int | None = pydantic.Field(
         default=None,
         ge=0,
@@ -152,10 +141,6 @@
             ' bound address.'
         ),
     )
-    suspicion_timeout_s: Timeout = pydantic.Field(
-        default=conf.SUSPICION_TIMEOUT_S,
-        description='Silence in seconds after which a peer is suspected.',
-    )
     connect_timeout_s: Timeout = pydantic.Field(
         default=conf.CONNECT_TIMEOUT_S,
         description='Time in seconds that connecting to a target may take.',
@@ -209,12 +194,9 @@
         description='TCP address for entries, host:port; port 0 lets the'
         ' kernel choose.',
     )
-    advertised_address: PeerAddress | None = pydantic.Field(
-        default=None,
-        description=(
-            'Address that entries are told to use, host:port; unset means the'
-            ' bound address.'
-        ),
+    heartbeat_period_s: Period = pydantic.Field(
+        default=conf.HEARTBEAT_PERIOD_S,
+        description='Time in seconds between two load reports to an entry.',
     )
     backend_url: Url = pydantic.Field(
         description='URL of the engine or application, http://host:port.'
@@ -247,5 +229,5 @@
         default=conf.BODY_LIMIT_BYTES,
         gt=0,
         le=conf.BODY_LIMIT_MAXIMUM_BYTES,
-        description='Largest body in bytes that is passed on in one message.',
+        description='Largest answer in bytes of a call that is not streamed.',
     )
--- a/packages/savoryyoke-entry/savoryyoke_entry/commands/explain.py
+++ b/packages/savoryyoke-entry/savoryyoke_entry/commands/explain.py
@@ -116,10 +116,10 @@
             ' the request did not run and may be sent again'
         )
         return
-    yield from _describe_non_idempotent(route.service.idempotency, key)
+    yield from _describe_non_idempotent(key)
 
 
-def _describe_non_idempotent(idempotency, key):
+def _describe_non_idempotent(key):
     if not key:
         yield (
             f'refused with 428 binding-required: the header {conf.KEY_HEADER}'
@@ -127,9 +127,8 @@
         )
         return
     yield (
-        'key: bound to one target, which runs it at most once; it may be'
-        f' sent again for {idempotency.key_lifetime_s:g} s, and its outcome'
-        f' is kept for {idempotency.record_retention_s:g} s'
+        'key: bound to one target, which runs it at most once and keeps its'
+        ' outcome; it may be sent again through any entry'
     )
     yield (
         'failure: never tried at another target; 503 not-run where it is'
--- a/packages/savoryyoke-entry/savoryyoke_entry/conf.py
+++ b/packages/savoryyoke-entry/savoryyoke_entry/conf.py
@@ -15,8 +15,11 @@
 PAUSE_CHECK_S = 0.05
 DRAIN_POLL_S = 0.05
 RETRY_AFTER_S = 1.0
-DIRECTORY_LIFETIME_S = 2.0
 DIRECTORY_PATH = '/v1/directory'
 TEAM_HEADER = 'savoryyoke-team'
 KEY_HEADER = 'idempotency-key'
 TIMEOUT_HEADER = 'savoryyoke-timeout-s'
+SERVER_ERROR_STATUS = 500
+ISOLATION_PAUSE_S = 0.05
+# Time left at which a call stops waiting for another suspect's outcome.
+ISOLATION_RESERVE_S = 0.2
--- a/packages/savoryyoke-entry/savoryyoke_entry/daemon.py
+++ b/packages/savoryyoke-entry/savoryyoke_entry/daemon.py
@@ -36,7 +36,9 @@
         self._incarnation = secrets.randbits(INCARNATION_BITS)
         self._registry = prometheus_client.CollectorRegistry()
         self._metrics = metrics.EntryMetrics(registry=self._registry)
-        self._reader = platform.PlatformReader(url=settings.platform_url)
+        self._reader = platform.PlatformReader(
+            url=settings.platform_url, timeout_s=settings.platform_timeout_s
+        )
         self._drain_requested = anyio.Event()
         self._draining = False
         self._table = None
@@ -71,6 +73,7 @@
             'vm_id': self._settings.vm_id,
             'incarnation': f'{self._incarnation:016x}',
             'data_centre': self._settings.data_centre,
+            'region': self._settings.region,
             'address': self._address,
             'ready': self.ready,
             'draining': self._draining,
@@ -130,7 +133,7 @@
                 for vm in rows
                 if not (self._draining and vm.vm_id == self._settings.vm_id)
             ],
-            'lifetime_s': conf.DIRECTORY_LIFETIME_S,
+            'lifetime_s': self._settings.address_lifetime_s,
             'bindings': self._build_bindings(),
         }
 
@@ -185,6 +188,8 @@
         server = servers.build_server(
             self._application,
             header_timeout_s=self._settings.header_timeout_s,
+            idle_timeout_s=self._settings.idle_timeout_s,
+            connection_limit=self._settings.connection_limit,
         )
         admin_server = servers.build_server(
             admin.Admin(
@@ -269,7 +274,7 @@
         self._draining = True
         self._plane.start_leaving()
         logs.write_event('drain_started', vm=self._settings.vm_id)
-        await anyio.sleep(conf.DIRECTORY_LIFETIME_S)
+        await anyio.sleep(self._settings.address_lifetime_s)
         with anyio.move_on_after(self._settings.drain_timeout_s):
             while self._application.in_flight:
                 await anyio.sleep(conf.DRAIN_POLL_S)
--- a/packages/savoryyoke-target/savoryyoke_target/daemon.py
+++ b/packages/savoryyoke-target/savoryyoke_target/daemon.py
@@ -21,6 +21,7 @@
 from savoryyoke_edge import servers
 from savoryyoke_target import backends
 from savoryyoke_target import conf
+from savoryyoke_target import crashes
 from savoryyoke_target import departures
 from savoryyoke_target import dispatcher
 from savoryyoke_target import keyed_calls
@@ -51,8 +52,11 @@
         self._ledger = None
         self._dispatcher = None
         self._keyed_calls = None
+        self._guard = None
         self._plane = None
-        self._reader = platform.PlatformReader(url=settings.platform_url)
+        self._reader = platform.PlatformReader(
+            url=settings.platform_url, timeout_s=settings.platform_timeout_s
+        )
 
     @property
     def ready(self):
@@ -71,6 +75,7 @@
             'target_id': self._settings.target_id,
             'incarnation': f'{self._incarnation:016x}',
             'data_centre': self._settings.data_centre,
+            'region': self._settings.region,
             'service': self._settings.service,
             'draining': self._draining,
             'entries': len(self._sessions_by_number),
@@ -104,11 +109,21 @@
         backend = backends.Backend(
             url=self._settings.backend_url,
             connect_timeout_s=self._settings.connect_timeout_s,
-            answer_limit_bytes=conf.ANSWER_LIMIT_BYTES,
+            answer_limit_bytes=self._settings.body_limit_bytes,
+        )
+        self._guard = crashes.CrashGuard(
+            process_name=(
+                f'{self._settings.target_id}-{self._incarnation:016x}'
+            ),
+            backend=backend,
+            tasks=tasks,
+            clock=self._clock,
+            share=self._send_load,
         )
         self._keyed_calls = keyed_calls.KeyedCalls(
             ledger=self._ledger,
             backend=backend,
+            guard=self._guard,
             tasks=tasks,
             clock=self._clock,
             backend_timeout_s=self._settings.backend_timeout_s,
@@ -117,9 +132,11 @@
             admission=self._admission,
             keyed_calls=self._keyed_calls,
             backend=backend,
+            guard=self._guard,
             tasks=tasks,
             clock=self._clock,
         )
+        self._guard.attach(self._dispatcher)
         self._keyed_calls.attach(self._dispatcher.feed_admission)
         self._plane = plane.ControlPlane(
             settings=self._settings,
@@ -203,8 +220,12 @@
             ),
             queue_limit=service.admission.queue_limit,
         )
+        policy = admission_conf.WarmUpPolicy(
+            slow_start_step=service.warm_up.growth_per_success,
+            idle_period_s=service.warm_up.cold_after_idle_s,
+        )
         self._dispatcher.feed_admission(
-            admission_events.LimitsChanged(limits=limits)
+            admission_events.LimitsChanged(limits=limits, policy=policy)
         )
 
     async def _accept(self, listener):
@@ -268,6 +289,7 @@
                 for stamp in self._ledger.stamps(now_s=now_s)
             ),
             revision=plane.get_revision(self._plane),
+            crash_reports=self._guard.next_reports(),
         )
 
     async def _report_load(self):
--- a/packages/savoryyoke/savoryyoke/admission/aggregates.py
+++ b/packages/savoryyoke/savoryyoke/admission/aggregates.py
@@ -107,7 +107,9 @@
     @_apply.register
     def _(self, event: events.LimitsChanged, now_s):
         self._limits = event.limits
-        self._concurrency.change_limits(limits=event.limits)
+        self._concurrency.change_limits(
+            limits=event.limits, policy=event.policy
+        )
         return ()
 
     @_apply.register
--- a/packages/savoryyoke/savoryyoke/admission/events.py
+++ b/packages/savoryyoke/savoryyoke/admission/events.py
@@ -85,9 +85,10 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class LimitsChanged:
-    """Report new limits from the configuration."""
+    """Report new limits and, with ``policy``, a new pace of warm-up."""
 
     limits: conf.AdmissionLimits
+    policy: conf.WarmUpPolicy | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/savoryyoke/savoryyoke/admission/warmup.py
+++ b/packages/savoryyoke/savoryyoke/admission/warmup.py
@@ -34,8 +34,9 @@
         """Tell whether the target still has to prove that it is warm."""
         return self._cold
 
-    def change_limits(self, *, limits):
-        """Take in the operators' new limits."""
+    def change_limits(self, *, limits, policy=None):
+        """Take in the operators' new limits and pace, if there is one."""
+        self._policy = policy or self._policy
         known = self._limits
         self._limits = limits
         if self._threshold >= known.max_concurrency:
--- a/packages/savoryyoke/savoryyoke/configuration/checks.py
+++ b/packages/savoryyoke/savoryyoke/configuration/checks.py
@@ -41,7 +41,6 @@
             problem=f'a warm target gets only {most} calls at once',
             hint=f'Give at most {most}, or raise admission.max_concurrency',
         )
-    yield from _check_retention(path, service)
 
 
 def _check_models(path, service):
@@ -56,26 +55,6 @@
         )
 
 
-def _check_retention(path, service):
-    timeouts_s = [
-        operation.timeout_s
-        for operation in service.operations_by_name.values()
-        if not operation.idempotent
-    ]
-    if not timeouts_s:
-        return
-    # The last repetition of a key may run for a whole timeout.
-    least_s = service.idempotency.key_lifetime_s + max(timeouts_s)
-    if service.idempotency.record_retention_s >= least_s:
-        return
-    yield Finding(
-        id=faults.SHORT_RETENTION,
-        path=(*path, 'idempotency', 'record_retention_s'),
-        problem='an outcome would be forgotten while its key may be sent',
-        hint=f'Give at least {least_s}: key_lifetime_s + longest timeout_s',
-    )
-
-
 def _check_routes(configuration):
     groups = {}
     for route in routes.iterate_routes(configuration):
--- a/packages/savoryyoke/savoryyoke/configuration/faults.py
+++ b/packages/savoryyoke/savoryyoke/configuration/faults.py
@@ -32,7 +32,6 @@
 SHARED_API_KEY = 'savoryyoke.E131'
 UNKNOWN_DEFAULT = 'savoryyoke.E132'
 COLD_ABOVE_WARM = 'savoryyoke.E133'
-SHORT_RETENTION = 'savoryyoke.E134'
 ALL_OUT = 'savoryyoke.E135'
 
 MORE_FAULTS = 'savoryyoke.E199'
--- a/packages/savoryyoke/savoryyoke/configuration/meanings.py
+++ b/packages/savoryyoke/savoryyoke/configuration/meanings.py
@@ -24,7 +24,6 @@
     faults.SHARED_API_KEY: 'Two teams have the same API key.',
     faults.UNKNOWN_DEFAULT: 'The default version is not among the versions.',
     faults.COLD_ABOVE_WARM: 'A cold target would get more than a warm one.',
-    faults.SHORT_RETENTION: 'An outcome would be forgotten too early.',
     faults.ALL_OUT: 'Every data centre is out.',
     faults.MORE_FAULTS: 'There are more faults than are shown.',
 }
--- a/packages/savoryyoke/savoryyoke/configuration/policies.py
+++ b/packages/savoryyoke/savoryyoke/configuration/policies.py
@@ -1,4 +1,4 @@
-"""Policies of a service: retries, warm-up, admission and idempotency."""
+"""Policies of a service: retries, warm-up and admission."""
 
 import pydantic
 
@@ -53,20 +53,3 @@
         default=conf.ADMISSION_QUEUE_LIMIT,
         description='Calls that may wait at a target; more are refused.',
     )
-
-
-class Idempotency(fields.Part):
-    """Bound the memory of non-idempotent calls."""
-
-    key_lifetime_s: fields.Lifetime = pydantic.Field(
-        default=conf.IDEMPOTENCY_KEY_LIFETIME_S,
-        description='Time in seconds for which a key may be sent again.',
-    )
-    record_retention_s: fields.Lifetime = pydantic.Field(
-        default=conf.IDEMPOTENCY_RECORD_RETENTION_S,
-        description='Time in seconds for which an outcome is remembered.',
-    )
-    record_limit: fields.Count = pydantic.Field(
-        default=conf.IDEMPOTENCY_RECORD_LIMIT,
-        description='Outcomes remembered; beyond it new calls are refused.',
-    )
--- a/packages/savoryyoke/savoryyoke/configuration/schema.py
+++ b/packages/savoryyoke/savoryyoke/configuration/schema.py
@@ -97,7 +97,6 @@
     retry: policies.Retry = policies.Retry()
     warm_up: policies.WarmUp = policies.WarmUp()
     admission: policies.Admission = policies.Admission()
-    idempotency: policies.Idempotency = policies.Idempotency()
 
 
 class ModelGroup(Service):
--- a/tools/generate_reference.py
+++ b/tools/generate_reference.py
@@ -78,7 +78,6 @@
     ('services.NAME.retry', 'Retry'),
     ('services.NAME.warm_up', 'WarmUp'),
     ('services.NAME.admission', 'Admission'),
-    ('services.NAME.idempotency', 'Idempotency'),
     ('teams.NAME', schema.Team),
 )
 
