Stop requests that crash each engine in the whole fleet

Cause: the quarantine was a library only; neither daemon asked it.

The target process now probes its back end when a call breaks. Entries isolate suspects on targets that all entries rank alike, and refuse the quarantined for good. A call of which a try may have run is never called not run.

Ruled out: gossip attachments, as a report of 32 calls exceeds their 256 bytes; each target's load report reaches each entry anyway.

--- a/packages/savoryyoke-entry/savoryyoke_entry/relays.py
+++ b/packages/savoryyoke-entry/savoryyoke_entry/relays.py
@@ -5,6 +5,7 @@
 
 import anyio
 
+from savoryyoke.quarantine import decisions as quarantine_decisions
 from savoryyoke.retries import deadlines
 from savoryyoke.retries import decisions as retry_decisions
 from savoryyoke.retries import events as retry_events
@@ -13,19 +14,24 @@
 from savoryyoke.streams import assembly
 from savoryyoke.streams import decisions as stream_decisions
 from savoryyoke.streams import events as stream_events
+from savoryyoke_edge import crash_reports
 from savoryyoke_edge import logs
 from savoryyoke_edge import problems
 from savoryyoke_entry import callers
 from savoryyoke_entry import conf
 from savoryyoke_entry import exceptions
+from savoryyoke_entry import observations
+from savoryyoke_entry import suspects
+from savoryyoke_wire import conf as wire_conf
 from savoryyoke_wire import messages
 
-_REFUSAL_REASONS = {
-    'draining': routing_events.RefusalReason.LEAVING,
-}
 _FAILURES_BY_REASON = {
     'draining': retry_events.Failure.DRAINING,
+    'backend_stopped': retry_events.Failure.UNREACHABLE,
 }
+_ISOLATING_REASONS = frozenset(
+    {wire_conf.ISOLATING_REASON, wire_conf.SAME_REQUEST_REASON}
+)
 
 
 class Relay:
@@ -35,8 +41,19 @@
     ids to connections.
     """
 
-    def __init__(self, *, request, caller, service, clock, call_id):
+    def __init__(
+        self, *, request, caller, service, suspect_requests, clock, call_id
+    ):
         self._request = request
+        self._suspects = suspect_requests
+        self._fingerprint = suspects.compute_fingerprint(request)
+        self._isolation = suspects.IsolatedChoice(
+            fingerprint=self._fingerprint, choose=self._ask_router
+        )
+        self._crash_reports = ()
+        self._held_back = False
+        self._quarantined = False
+        self._may_have_run = False
         self._caller = caller
         self._service = service
         self._clock = clock
@@ -67,19 +84,44 @@
 
     async def _run(self):
         while not self._finished:
-            choice = self._choose()
+            verdict = self._suspects.offer(self._call_id, self._fingerprint)
+            if self._is_quarantined(verdict):
+                return await self._refuse_for_good()
+            choice = self._choose(verdict)
             if isinstance(choice, routing_decisions.NoTarget):
                 return await self._refuse(choice)
-            self._report_try(choice.target_id)
             await self._try_target(choice)
+            if await self._wait_for_suspect():
+                continue
             given_up = None if self._finished else self._ask_to_repeat()
-            if given_up is not None:
+            if given_up is not None and not self._quarantined:
                 return await self._give_up(given_up)
+        if self._head.status < conf.SERVER_ERROR_STATUS:
+            self._suspects.note_success(self._fingerprint)
         return 'answered'
 
+    def _is_quarantined(self, verdict):
+        return self._quarantined or isinstance(
+            verdict, quarantine_decisions.RefuseForGood
+        )
+
+    async def _wait_for_suspect(self):
+        """Return whether to ask again, as another suspect was running.
+
+        Nothing was handed over, so this is not counted as a try.
+        """
+        remaining_s = self._request.deadline_s - self._clock()
+        if not self._held_back or remaining_s < conf.ISOLATION_RESERVE_S:
+            return False
+        await anyio.sleep(conf.ISOLATION_PAUSE_S)
+        return True
+
     def _report_try(self, target_id):
-        self._target_id = target_id
         self._failure = retry_events.Failure.LOST
+        if self._held_back:
+            self._held_back = False
+            return
+        self._target_id = target_id
         if self._tries:
             event = retry_events.TrySent(
                 call_id=self._call_id, target_id=target_id
@@ -96,7 +138,10 @@
 
     def _ask_to_repeat(self):
         """Return None to try again, else the decision to give up."""
+        self._held_back = False
         failure = self._failure
+        if failure is retry_events.Failure.LOST:
+            self._may_have_run = True
         if self._failed:
             failure = retry_events.Failure.FINAL
         (decision,) = self._service.feed_retries(
@@ -111,20 +156,43 @@
             return decision
         return None
 
-    def _choose(self):
-        request = routing_decisions.Request(
+    def _choose(self, verdict):
+        """Return the router's choice, or that of the isolation."""
+        if isinstance(verdict, quarantine_decisions.Isolate):
+            self._crash_reports = verdict.reports
+            choice = self._isolation.choose(
+                self._build_routing_request,
+                target_ids=self._service.target_ids,
+                excluded=frozenset(self._excluded),
+            )
+        else:
+            self._crash_reports = ()
+            choice = self._ask_router(
+                self._build_routing_request(frozenset(self._excluded))
+            )
+        observations.log_choice(
+            self._call_id,
+            self._attempt,
+            self._build_routing_request(frozenset()),
+            choice,
+        )
+        return choice
+
+    def _ask_router(self, request):
+        return self._service.router.choose(request, self._clock())
+
+    def _build_routing_request(self, excluded):
+        return routing_decisions.Request(
             service=self._request.route.service_name,
             prefix_digests=self._request.prefix_digests,
             team=self._request.team_name,
             priority=self._request.priority,
             remaining_s=self._request.deadline_s - self._clock(),
-            excluded_target_ids=frozenset(self._excluded),
+            excluded_target_ids=excluded,
         )
-        choice = self._service.router.choose(request, self._clock())
-        log_choice(self._call_id, self._attempt, request, choice)
-        return choice
 
     async def _try_target(self, choice):
+        self._report_try(choice.target_id)
         link = self._service.get_link(choice.target_id)
         attempt_id = f'{self._call_id}.{self._attempt}'
         self._excluded.add(choice.target_id)
@@ -144,7 +212,13 @@
                 prefix_digests=self._request.prefix_digests,
             )
         )
-        with _Observation(self, attempt_id, choice.target_id) as observation:
+        observation = observations.Observation(
+            service=self._service,
+            clock=self._clock,
+            attempt_id=attempt_id,
+            target_id=choice.target_id,
+        )
+        with observation:
             await self._receive(channel, observation)
 
     async def _receive(self, channel, observation):
@@ -155,6 +229,8 @@
                 while attempt == self._attempt and not self._finished:
                     message = await channel.get()
                     observation.see(message)
+                    if self._note_isolation(message, observation.target_id):
+                        break
                     await self._take(message, channel)
                 done = True
             if not done:
@@ -196,7 +272,24 @@
             channel.grant(self._unreturned_bytes)
             self._unreturned_bytes = 0
 
+    def _note_isolation(self, message, target_id):
+        """Return whether a target holds the call back for a suspect."""
+        if not isinstance(message, messages.Refusal):
+            return False
+        self._suspects.take(message.crash_reports)
+        if message.reason not in _ISOLATING_REASONS:
+            return False
+        self._note_refusal(message)
+        self._held_back = True
+        self._last_reason = message.reason
+        self._excluded.discard(target_id)
+        if message.reason == wire_conf.ISOLATING_REASON:
+            self._isolation.note_occupied(target_id)
+        return True
+
     def _note_refusal(self, refusal):
+        if refusal.reason == wire_conf.QUARANTINED_REASON:
+            self._quarantined = True
         self._retry_after_s = refusal.retry_after_ms / 1000
         if refusal.outcome == messages.Outcome.NOT_RUN:
             self._failure = _FAILURES_BY_REASON.get(
@@ -280,6 +373,22 @@
         )
         return 'refused'
 
+    async def _refuse_for_good(self):
+        """Tell the caller that sending the request again does not help."""
+        name = 'not-answered' if self._may_have_run else 'quarantined'
+        if self._caller.started:
+            name = 'answer-truncated'
+        logs.write_event(
+            'call_quarantined',
+            call=self._call_id,
+            fingerprint=self._fingerprint.hex(),
+            may_have_run=self._may_have_run,
+        )
+        await self._caller.send_problem(
+            problems.Problem(name=name, reason=wire_conf.QUARANTINED_REASON)
+        )
+        return 'quarantined'
+
     async def _give_up(self, given_up):
         logs.write_event(
             'call_given_up',
@@ -327,6 +436,8 @@
             resume_text=self._read_delivered_text(),
             cost=request.cost,
             credit_bytes=conf.CREDIT_BYTES,
+            fingerprint=self._fingerprint,
+            crash_reports=crash_reports.pack(self._crash_reports),
         )
 
     def _read_delivered_text(self):
@@ -337,100 +448,6 @@
         return ''.join(_read_text(event) for event in events if event)
 
 
-class _Observation:
-    """Tell the router how one attempt went."""
-
-    def __init__(self, relay, attempt_id, target_id):
-        self._service = relay._service
-        self._clock = relay._clock
-        self._attempt_id = attempt_id
-        self._target_id = target_id
-        self._started_s = self._clock()
-        self._seen_first = False
-        self._outcome = routing_events.Outcome.CANCELLED
-        self._refused = False
-        self.ended = False
-
-    def __enter__(self):
-        return self
-
-    def __exit__(self, kind, error, trace):
-        if self._refused:
-            return
-        self._service.feed(
-            routing_events.Completed(
-                call_id=self._attempt_id,
-                outcome=self._outcome,
-                latency_s=self._clock() - self._started_s,
-            )
-        )
-
-    def see(self, message):
-        """Take note of one message of the target."""
-        match message:
-            case messages.Chunk() if not self._seen_first:
-                self._seen_first = True
-                self._service.feed(
-                    routing_events.FirstToken(
-                        call_id=self._attempt_id,
-                        latency_s=self._clock() - self._started_s,
-                    )
-                )
-            case messages.End():
-                self.ended = True
-                self._outcome = routing_events.Outcome.ANSWERED
-            case messages.Refusal():
-                self.ended = True
-                self._see_refusal(message)
-            case None:
-                self.ended = True
-                self._outcome = routing_events.Outcome.FAILED
-
-    def _see_refusal(self, refusal):
-        self._outcome = routing_events.Outcome.FAILED
-        if refusal.outcome != messages.Outcome.NOT_RUN:
-            return
-        self._refused = True
-        self._service.feed(
-            routing_events.Refused(
-                call_id=self._attempt_id,
-                target_id=self._target_id,
-                retry_after_s=refusal.retry_after_ms / 1000,
-                reason=_REFUSAL_REASONS.get(
-                    refusal.reason, routing_events.RefusalReason.OVERLOADED
-                ),
-            )
-        )
-
-
-def log_choice(call_id, attempt, request, choice):
-    """Log what was chosen, from what, and why."""
-    if isinstance(choice, routing_decisions.NoTarget):
-        logs.write_event(
-            'no_target',
-            call=call_id,
-            attempt=attempt,
-            service=request.service,
-            team=request.team,
-            reason=choice.reason.value,
-            retry_after_s=choice.retry_after_s,
-        )
-        return
-    candidates = ','.join(
-        f'{item.target_id}:{item.score_s:.4f}' for item in choice.candidates
-    )
-    logs.write_event(
-        'target_chosen',
-        call=call_id,
-        attempt=attempt,
-        service=request.service,
-        team=request.team,
-        target=choice.target_id,
-        reason=choice.reason.value,
-        candidates=candidates,
-    )
-
-
 def _read_text(event):
     """Return the text of one server-sent event of a completion."""
     try:
--- /dev/null
+++ b/packages/savoryyoke-entry/savoryyoke_entry/suspects.py
@@ -0,0 +1,83 @@
+"""Keep requests that crash back ends apart, or refuse them for good."""
+
+from savoryyoke.quarantine import aggregates
+from savoryyoke.quarantine import events
+from savoryyoke.quarantine import fingerprints
+from savoryyoke.quarantine import isolation
+from savoryyoke.routing import decisions as routing_decisions
+from savoryyoke_edge import crash_reports
+
+
+class Suspects:
+    """Hold what this entry knows of requests that crash back ends."""
+
+    def __init__(self, *, clock):
+        self._clock = clock
+        self._quarantine = aggregates.Quarantine()
+
+    def offer(self, call_id, fingerprint):
+        """Return the quarantine's decision on a call about to be sent."""
+        (decision,) = self._apply(
+            events.CallOffered(call_id=call_id, fingerprint=fingerprint)
+        )
+        return decision
+
+    def note_success(self, fingerprint):
+        """Clear a request that a back end has answered in full."""
+        self._apply(events.CallSucceeded(fingerprint=fingerprint))
+
+    def take(self, reports):
+        """Take in the crash reports of a message."""
+        if reports:
+            self._apply(
+                events.ReportsReceived(reports=crash_reports.unpack(reports))
+            )
+
+    def _apply(self, event):
+        return self._quarantine.apply(event, now_s=self._clock())
+
+
+def compute_fingerprint(request):
+    """Return the digest by which all processes know a request's content."""
+    parts = (request.route.service_name, request.method, request.path)
+    return fingerprints.compute_fingerprint(
+        service='\0'.join(parts), body=request.body
+    )
+
+
+class IsolatedChoice:
+    """Choose the target where one suspect runs apart from the others.
+
+    ``choose(request)`` asks the router. All entries try the targets in the
+    same order, so that the same request meets itself on one target.
+    """
+
+    def __init__(self, *, fingerprint, choose):
+        self._fingerprint = fingerprint
+        self._choose = choose
+        self._occupied = set()
+
+    def choose(self, build_request, *, target_ids, excluded):
+        """Return the first of the ranked targets that may take the call.
+
+        ``build_request(excluded)`` makes the router's request.
+        """
+        first_answer = None
+        for target_id in isolation.rank_targets(
+            fingerprint=self._fingerprint,
+            target_ids=target_ids - excluded - self._occupied,
+        ):
+            others = target_ids - {target_id}
+            choice = self._choose(build_request(others | excluded))
+            if not isinstance(choice, routing_decisions.NoTarget):
+                return choice
+            first_answer = first_answer or choice
+        self._occupied.clear()
+        return first_answer or self._choose(build_request(target_ids))
+
+    def note_occupied(self, target_id):
+        """Try the other targets first, as another suspect runs there.
+
+        Once all were tried, the order starts afresh.
+        """
+        self._occupied.add(target_id)
--- a/packages/savoryyoke-target/savoryyoke_target/backends.py
+++ b/packages/savoryyoke-target/savoryyoke_target/backends.py
@@ -1,6 +1,7 @@
 """Call the engine or application behind this target over HTTP."""
 
 import json
+import urllib.parse
 
 import anyio
 import httpcore
@@ -10,6 +11,7 @@
 
 STREAM_TYPE = 'text/event-stream'
 CONNECTIONS_LIMIT = 1024
+_PORTS_BY_SCHEME = {'http': 80, 'https': 443}
 _HOP_HEADERS = frozenset(
     {
         'connection',
@@ -40,6 +42,23 @@
             max_connections=CONNECTIONS_LIMIT, max_keepalive_connections=0
         )
 
+    async def refuses_connections(self):
+        """Tell whether nothing listens at the back end's address.
+
+        A back end that is slow to accept does not refuse.
+        """
+        address = urllib.parse.urlsplit(self._url)
+        port = address.port or _PORTS_BY_SCHEME[address.scheme]
+        try:
+            with anyio.fail_after(self._timeouts['connect']):
+                stream = await anyio.connect_tcp(address.hostname, port)
+        except TimeoutError:
+            return False
+        except OSError as error:
+            return _is_refusal(error)
+        await anyio.aclose_forcefully(stream)
+        return False
+
     async def fetch(self, call, *, timeout_s):
         """Run ``call`` and return its whole ``Answer``-like triple.
 
@@ -120,6 +139,13 @@
 )
 
 
+def _is_refusal(error):
+    """Tell whether each address of the back end refused."""
+    cause = error.__cause__ or error
+    causes = getattr(cause, 'exceptions', (cause,))
+    return all(isinstance(item, ConnectionRefusedError) for item in causes)
+
+
 def _translate(error):
     if isinstance(error, httpcore.ConnectError | httpcore.ConnectTimeout):
         return exceptions.NothingSent(str(error))
--- a/packages/savoryyoke-target/savoryyoke_target/dispatcher.py
+++ b/packages/savoryyoke-target/savoryyoke_target/dispatcher.py
@@ -7,6 +7,7 @@
 
 from savoryyoke.admission import decisions as admission_decisions
 from savoryyoke.admission import events as admission_events
+from savoryyoke.quarantine import decisions as quarantine_decisions
 from savoryyoke_edge import logs
 from savoryyoke_target import arrivals
 from savoryyoke_target import conf
@@ -24,6 +25,7 @@
     call: messages.Call
     window: sessions.CreditWindow
     scope: anyio.CancelScope
+    quarantined: bool = False
 
 
 class Dispatcher:
@@ -33,13 +35,17 @@
     ``keyed_calls``, which asks the ledger first.
     """
 
-    def __init__(self, *, admission, keyed_calls, backend, tasks, clock):
+    def __init__(
+        self, *, admission, keyed_calls, backend, guard, tasks, clock
+    ):
         self._admission = admission
+        self._guard = guard
         self._keyed_calls = keyed_calls
         self._backend = backend
         self._tasks = tasks
         self._clock = clock
         self._live_by_id = {}
+        self._running_ids = set()
         self.served = 0
         self.refused = 0
 
@@ -48,6 +54,26 @@
         """Return how many calls have no answer yet."""
         return len(self._live_by_id) + self._keyed_calls.unfinished
 
+    @property
+    def running_ids(self):
+        """Return the idempotent calls that the back end runs."""
+        return frozenset(self._running_ids)
+
+    def on_backend_stopped(self):
+        """Hand back what waits, as the back end is gone."""
+        self.feed_admission(admission_events.BackendStopped())
+
+    def on_backend_restarted(self):
+        """Start afresh with a cold back end."""
+        self.feed_admission(admission_events.BackendRestarted())
+
+    def on_quarantined(self, call_id):
+        """Stop the run of a request that crashes back ends."""
+        live = self._live_by_id.get(call_id)
+        if live is not None:
+            live.quarantined = True
+            live.scope.cancel()
+
     def receive(self, session, message):
         """Take one message of an entry."""
         match message:
@@ -106,7 +132,12 @@
         if live is None:
             self._keyed_calls.start(decision.call_id)
             return
-        self._tasks.start_soon(self._run, decision.call_id, live)
+        verdict = self._guard.request_run(decision.call_id, live.call)
+        if isinstance(verdict, quarantine_decisions.Run):
+            self._running_ids.add(decision.call_id)
+            self._tasks.start_soon(self._run, decision.call_id, live)
+        else:
+            self._tasks.start_soon(self._release, live, verdict)
 
     @_carry_out.register
     def _(self, decision: admission_decisions.Refuse):
@@ -142,14 +173,27 @@
         if live_id in self._live_by_id:
             self.feed_admission(admission_events.Cancelled(call_id=live_id))
 
+    async def _release(self, live, verdict):
+        """Answer a call that the quarantine keeps from running."""
+        del self._live_by_id[verdict.call_id]
+        live.session.forget(live.call.call_id)
+        self.refused += 1
+        relays.send_verdict(live, verdict)
+        # Admission is still busy with the event that started the call.
+        self.feed_admission(admission_events.Released(call_id=verdict.call_id))
+
     async def _run(self, live_id, live):
         started_s = self._clock()
         relay = relays.Relay(live=live, clock=self._clock)
         succeeded = False
         with live.scope:
-            succeeded = await self._try_stream(live, relay)
+            succeeded = await self._try_stream(live_id, live, relay)
+        if live.quarantined and live.scope.cancelled_caught:
+            relay.send_stopped()
         live.session.forget(live.call.call_id)
         del self._live_by_id[live_id]
+        self._running_ids.discard(live_id)
+        self._guard.end_run(live_id, succeeded=succeeded)
         self.served += 1
         first_token_s = relay.first_event_s
         self.feed_admission(
@@ -161,7 +205,7 @@
             )
         )
 
-    async def _try_stream(self, live, relay):
+    async def _try_stream(self, live_id, live, relay):
         try:
             await self._backend.stream(
                 live.call,
@@ -169,8 +213,17 @@
                 on_events=relay.send_events,
                 timeout_s=live.call.remaining_ms / 1000,
             )
-        except exceptions.BackendError as error:
+        except exceptions.NothingSent as error:
+            # A call that never reached the back end did not crash it.
+            self._guard.end_run(live_id, succeeded=False)
+            self._running_ids.discard(live_id)
+            await self._guard.examine()
             relay.send_failure(error)
             return False
+        except exceptions.BackendError as error:
+            await self._guard.examine()
+            reports = self._guard.take_reports(live_id)
+            relay.send_failure(error, crash_reports=reports)
+            return False
         relay.send_end()
         return relay.status < conf.SERVER_ERROR_STATUS
--- a/packages/savoryyoke-target/savoryyoke_target/relays.py
+++ b/packages/savoryyoke-target/savoryyoke_target/relays.py
@@ -1,8 +1,10 @@
 """Pass the answer of one idempotent call on to its entry."""
 
+from savoryyoke.quarantine import decisions as quarantine_decisions
 from savoryyoke_edge import logs
 from savoryyoke_target import exceptions
 from savoryyoke_target import sessions
+from savoryyoke_wire import conf as wire_conf
 from savoryyoke_wire import messages
 
 
@@ -50,7 +52,18 @@
             messages.End(call_id=self._call_id, total=self._index)
         )
 
-    def send_failure(self, error):
+    def send_stopped(self):
+        """Tell the entry that the run was stopped for good."""
+        self._session.send(
+            messages.Refusal(
+                call_id=self._call_id,
+                outcome=messages.Outcome.MAY_HAVE_RUN,
+                reason=wire_conf.QUARANTINED_REASON,
+                handed_over=True,
+            )
+        )
+
+    def send_failure(self, error, *, crash_reports=()):
         """Tell the entry that no more of this answer will come."""
         handed_over = not isinstance(error, exceptions.NothingSent)
         outcome = messages.Outcome.NOT_RUN
@@ -69,5 +82,25 @@
                 outcome=outcome,
                 reason=f'backend: {error}',
                 handed_over=handed_over,
+                crash_reports=crash_reports,
             )
         )
+
+
+def send_verdict(live, verdict):
+    """Tell the entry why the quarantine keeps a call from running."""
+    reason = wire_conf.QUARANTINED_REASON
+    if isinstance(verdict, quarantine_decisions.RefuseWhileIsolating):
+        reason = wire_conf.ISOLATING_REASON
+        if verdict.same_request:
+            reason = wire_conf.SAME_REQUEST_REASON
+    logs.write_event(
+        'call_refused', call=verdict.call_id, reason=reason, retry_after_s=0.0
+    )
+    live.session.send(
+        messages.Refusal(
+            call_id=live.call.call_id,
+            outcome=messages.Outcome.NOT_RUN,
+            reason=reason,
+        )
+    )
--- a/packages/savoryyoke-wire/savoryyoke_wire/conf.py
+++ b/packages/savoryyoke-wire/savoryyoke_wire/conf.py
@@ -15,3 +15,8 @@
 
 GOSSIP_VERSION = 1
 DATAGRAM_LIMIT_BYTES = 8 * 1024
+
+# Reasons of refusals that the entry acts on.
+QUARANTINED_REASON = 'quarantined'
+ISOLATING_REASON = 'isolating'
+SAME_REQUEST_REASON = 'isolating-same-request'
