Say 'not run' of a bound key only on the ledger's word

Cause: an entry that refused a repeat for its form (body too large, slow, unknown team) said 'not-run', while an earlier attempt of the same key had run: a false refusal. Ruled out: asking the bound target to seal the key for each such refusal (garbage would then cost the targets work). Change: such refusals of bound keys say 'may-have-run'; the problem types carry advice and get a reference page written from the code.

--- a/packages/savoryyoke-edge/savoryyoke_edge/problems.py
+++ b/packages/savoryyoke-edge/savoryyoke_edge/problems.py
@@ -17,12 +17,13 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class ProblemType:
-    """Describe one stable kind of refusal."""
+    """Describe one stable kind of refusal; ``advice`` is for callers."""
 
     name: str
     status: int
     title: str
     outcome: str
+    advice: str
 
 
 PROBLEM_TYPES_BY_NAME = {
@@ -33,102 +34,122 @@
             status=400,
             title='The request is malformed.',
             outcome=NOT_RUN,
+            advice='Mend the request; `detail` names the place.',
         ),
         ProblemType(
             name='unknown-team',
             status=403,
             title='The team is not known.',
             outcome=NOT_RUN,
+            advice=(
+                'Set the header `Savoryyoke-Team` to a team of the '
+                "operators' file."
+            ),
         ),
         ProblemType(
             name='unknown-operation',
             status=404,
             title='No service has this operation.',
             outcome=NOT_RUN,
+            advice="Check method and path against the operators' file.",
         ),
         ProblemType(
             name='request-timeout',
             status=408,
             title='The request was not received in time.',
             outcome=NOT_RUN,
+            advice='Send the body faster; send the request again.',
         ),
         ProblemType(
             name='body-too-large',
             status=413,
             title='The request is too large.',
             outcome=NOT_RUN,
+            advice='Send less, or let operators raise `--body-limit-bytes`.',
         ),
         ProblemType(
             name='key-reused',
             status=422,
             title='The idempotency key belongs to another request.',
             outcome=NOT_RUN,
+            advice='Use a new key for another request.',
         ),
         ProblemType(
             name='binding-required',
             status=428,
             title='The idempotency key carries no binding.',
             outcome=NOT_RUN,
+            advice='Ask the directory, or build the key from `binding`.',
         ),
         ProblemType(
             name='limit-exceeded',
             status=429,
             title='The team is over its limit.',
             outcome=NOT_RUN,
+            advice='Come back after `Retry-After`.',
         ),
         ProblemType(
             name='quarantined',
             status=422,
             title='This request crashes the targets that run it.',
             outcome=NOT_RUN,
+            advice='Do not send it again; have the operators look at it.',
         ),
         ProblemType(
             name='key-expired',
             status=409,
             title='The binding of the key has expired.',
             outcome=NOT_RUN,
+            advice='Build a new key from a fresh binding.',
         ),
         ProblemType(
             name='internal-error',
             status=500,
             title='The entry failed; the call may have run.',
             outcome=MAY_HAVE_RUN,
+            advice='Treat it as may-have-run; operators read the log.',
         ),
         ProblemType(
             name='not-run',
             status=503,
             title='The call was refused and did not run.',
             outcome=NOT_RUN,
+            advice='Come back after `Retry-After`, with the same key.',
         ),
         ProblemType(
             name='not-answered',
             status=503,
             title='The idempotent call got no answer; it may be repeated.',
             outcome=MAY_HAVE_RUN,
+            advice='Repeat it after `Retry-After`; it is idempotent.',
         ),
         ProblemType(
             name='cut-off',
             status=503,
             title='This entry is cut off; use another.',
             outcome=NOT_RUN,
+            advice='Use another entry; `detail` says why.',
         ),
         ProblemType(
             name='may-have-run',
             status=504,
             title='The call may have run.',
             outcome=MAY_HAVE_RUN,
+            advice='Repeat it with the same key later, or look the effect up.',
         ),
         ProblemType(
             name='answer-gone',
             status=410,
             title='The call ran; its answer is no longer kept.',
             outcome=RAN,
+            advice='The call ran; look its effect up.',
         ),
         ProblemType(
             name='answer-truncated',
             status=502,
             title='The answer broke off and could not be resumed.',
             outcome=MAY_HAVE_RUN,
+            advice='Repeat it after `Retry-After`; do not use the part.',
         ),
     )
 }
@@ -139,6 +160,7 @@
     """Hold one refusal for a caller.
 
     ``retry_after_s`` of None says that coming back does not help.
+    ``outcome`` of None takes that of the type.
     """
 
     name: str
@@ -147,6 +169,7 @@
     retry_after_s: float | None = None
     same_key_may_return: bool | None = None
     binding: str = ''
+    outcome: str | None = None
 
     @property
     def kind(self):
@@ -159,7 +182,7 @@
             'type': TYPE_PREFIX + self.name,
             'title': self.kind.title,
             'status': self.kind.status,
-            'outcome': self.kind.outcome,
+            'outcome': self.outcome or self.kind.outcome,
         }
         if self.detail:
             body['detail'] = self.detail
--- a/packages/savoryyoke-entry/savoryyoke_entry/application.py
+++ b/packages/savoryyoke-entry/savoryyoke_entry/application.py
@@ -1,5 +1,6 @@
 """Answer callers: the directory of entries, and the services' operations."""
 
+import dataclasses
 import itertools
 import traceback
 
@@ -63,7 +64,7 @@
         try:
             request = await self._read(scope, receive, arrival.at_s)
         except exceptions.RequestRefused as refusal:
-            await self._refuse(scope, caller, refusal.problem)
+            await self._refuse(scope, caller, arrival, refusal.problem)
             return
         call_id = f'{self._prefix}-{next(self._numbers)}'
         outcome = await self._answer(request, caller, call_id, arrival)
@@ -101,7 +102,12 @@
             now_s=now_s,
         )
 
-    async def _refuse(self, scope, caller, problem):
+    async def _refuse(self, scope, caller, arrival, problem):
+        if arrival.bound:
+            # An earlier attempt may have run; only the ledger knows.
+            problem = dataclasses.replace(
+                problem, outcome=problems.MAY_HAVE_RUN
+            )
         logs.write_event(
             'request_refused',
             path=scope['path'],
--- a/packages/savoryyoke-entry/savoryyoke_entry/keyed.py
+++ b/packages/savoryyoke-entry/savoryyoke_entry/keyed.py
@@ -24,29 +24,37 @@
 class Arrival:
     """Hold what was so when the head of a request was read.
 
-    ``stamp_ms`` is the newest stamp held for its key, 0 without one. Read
-    later, with the body, it might be newer than a refusal of the key.
+    ``bound`` tells whether its key names a target. ``stamp_ms`` is the newest
+    stamp held for the key, 0 without one. Read later, with the body, it might
+    be newer than a refusal of the key.
     """
 
     at_s: float
     doubtful: bool
+    bound: bool
     stamp_ms: int
 
 
 def note_arrival(scope, *, routes, doubtful, now_s):
     """Return the ``Arrival`` of a request whose head was just read."""
-    stamp_ms = 0
-    for name, value in scope['headers']:
-        if name == conf.KEY_HEADER.encode():
-            stamp_ms = _find_stamp_ms(value.decode('latin-1'), routes)
-    return Arrival(at_s=now_s, doubtful=doubtful, stamp_ms=stamp_ms)
+    key = _find_key(scope)
+    return Arrival(
+        at_s=now_s,
+        doubtful=doubtful,
+        bound=key is not None,
+        stamp_ms=routes.find_stamp_ms(key) if key is not None else 0,
+    )
 
 
-def _find_stamp_ms(text, routes):
-    try:
-        return routes.find_stamp_ms(keys.parse(text))
-    except calls_exceptions.InvalidKey:
-        return 0
+def _find_key(scope):
+    for name, value in scope['headers']:
+        if name != conf.KEY_HEADER.encode():
+            continue
+        try:
+            return keys.parse(value.decode('latin-1'))
+        except calls_exceptions.InvalidKey:
+            return None
+    return None
 
 
 class KeyedRelay:
--- a/tests/test_payments.py
+++ b/tests/test_payments.py
@@ -40,6 +40,27 @@
         self.assertEqual('not-run', answer.outcome)
         self.assertEqual(0, self.count_runs('other-body-2'))
 
+    def test_refusal_without_the_ledgers_word_never_says_not_run(self):
+        key = self.client.build_key(fleets.ACCOUNT, 'ran-first')
+        self.assertEqual(200, self.client.pay('ran-first', key).status)
+        team = {'savoryyoke-team': 'members', 'idempotency-key': key}
+        cases = (
+            ({**team, 'savoryyoke-timeout-s': 'x'}, {}, 400),
+            ({**team, 'savoryyoke-team': 'nobody'}, {}, 403),
+            (team, {'reference': 'x' * (2 * 1024 * 1024)}, 413),
+        )
+        for headers, body, status in cases:
+            with self.subTest(status=status):
+                answer = clients.call(
+                    'POST',
+                    self.client.address,
+                    '/v1/payments',
+                    body=body,
+                    headers=headers,
+                )
+                self.assertEqual(status, answer.status)
+                self.assertEqual('may-have-run', answer.outcome)
+
     def test_key_without_binding_does_not_run(self):
         answer = self.client.pay('plain', 'plain-key')
         self.assertEqual(428, answer.status)
--- a/tests/test_reference.py
+++ b/tests/test_reference.py
@@ -36,7 +36,7 @@
 
     def test_comparison_notices_a_difference(self):
         with tempfile.TemporaryDirectory() as directory:
-            for name in ('settings.md', 'operators-file.md'):
+            for name in ('settings.md', 'operators-file.md', 'problems.md'):
                 shutil.copy(PAGES / name, directory)
             page = pathlib.Path(directory) / 'settings.md'
             page.write_text(page.read_text().replace('--vm-id', '--vm', 1))
--- a/tools/generate_reference.py
+++ b/tools/generate_reference.py
@@ -12,6 +12,7 @@
 from savoryyoke.configuration import conf
 from savoryyoke.configuration import meanings
 from savoryyoke.configuration import schema
+from savoryyoke_edge import problems
 from savoryyoke_edge.settings import loader
 from savoryyoke_edge.settings import meanings as settings_meanings
 from savoryyoke_edge.settings import schema as settings_schema
@@ -68,6 +69,19 @@
 checks of a version never change. Raise the version in the file only after
 every process runs a release that knows it."""
 
+PROBLEMS_INTRODUCTION = f"""\
+# Problem types
+
+A refusal is a problem (RFC 9457) with one of these types, each behind
+`{problems.TYPE_PREFIX}`. Its member `outcome` says what is known:
+
+- `not-run`: the call did not run, and no attempt sent so far can still run;
+- `may-have-run`: nobody knows; a repeat with the same key is safe;
+- `ran`: the call ran once.
+
+Further members: `reason`, `detail`, `retry_after_s` (also as `Retry-After`,
+rounded up), `same_key_may_return`, and `binding` for new keys."""
+
 PARTS = (
     ('whole file', schema.Configuration),
     ('data_centres.NAME', schema.DataCentre),
@@ -110,9 +124,21 @@
     return '\n\n'.join(sections) + '\n'
 
 
+def build_problems_page():
+    """Return the page of the problem types."""
+    rows = [
+        (f'`{kind.name}`', str(kind.status), f'`{kind.outcome}`', kind.advice)
+        for kind in problems.PROBLEM_TYPES_BY_NAME.values()
+    ]
+    header = ('Type', 'Status', 'Outcome', 'What the caller does')
+    parts = (NOTICE, PROBLEMS_INTRODUCTION, _build_table(header, rows))
+    return '\n\n'.join(parts) + '\n'
+
+
 PAGES_BY_NAME = {
     'settings.md': build_settings_page,
     'operators-file.md': build_file_page,
+    'problems.md': build_problems_page,
 }
 
 
