Warm up cold targets with the work that can wait

Cause: a data centre that returned cold stayed nearly unused.

Ruled out: a smaller penalty for cold targets, which makes interactive requests pay.

Change: less important requests look for a cold target that bears one call more, interactive ones now and then, decisions never. The load of a cold target is no longer drawn to the mean of its peers, which filled its few places when these were busy. First-token times measured while cold are forgotten when it is warm. The limit of a cold target binds as before.

Tests: three new ones, seen red with no search for cold targets, the same for decisions, no bonus, the load drawn to the mean, the slowness kept. The differential test switches the search off, as it checks the score alone.

--- a/packages/savoryyoke/savoryyoke/routing/choices.py
+++ b/packages/savoryyoke/savoryyoke/routing/choices.py
@@ -58,6 +58,7 @@
         found = {}
         self._add_affine(found, request, digests=digests)
         self._add_holders(found, digests=digests)
+        self._add_cold(found, request)
         usable = self._registry.get_usable()
         reason = decisions.ChoiceReason.SAMPLED
         for _ in range(self._settings.random_candidates):
@@ -65,6 +66,28 @@
             found.setdefault(state.target_id, (state, reason))
         return found
 
+    def _add_cold(self, found, request):
+        """Add a cold target that bears one call more.
+
+        Without work it would stay cold; work that can wait goes first.
+        """
+        cold_states = self._summary.cold_states
+        shares = self._settings.warm_up_shares
+        share = shares[max(0, min(request.priority, len(shares) - 1))]
+        if not cold_states or self._draws.draw() >= share:
+            return
+        bearing = [
+            state
+            for state in cold_states
+            if self._registry.is_usable(state)
+            and state.is_cold
+            and state.own_calls < state.get_quota(now_s=self._now_s)
+        ]
+        if bearing:
+            state = self._draws.pick(bearing)
+            reason = decisions.ChoiceReason.WARM_UP
+            found[state.target_id] = (state, reason)
+
     def _add_holders(self, found, *, digests):
         holders = list(self._beliefs.find_holders(digests=digests))
         reason = decisions.ChoiceReason.PREFIX
@@ -152,6 +175,8 @@
             settings=self._settings,
             now_s=self._now_s,
         )
+        if reason is decisions.ChoiceReason.WARM_UP:
+            score_s -= self._settings.warm_up_bonus_s
         return decisions.Candidate(
             target_id=state.target_id,
             score_s=score_s,
--- a/packages/savoryyoke/savoryyoke/routing/conf.py
+++ b/packages/savoryyoke/savoryyoke/routing/conf.py
@@ -52,6 +52,9 @@
 
     # Cold targets.
     cold_rotation_s: float = 1.0
+    # By priority: the share of requests that look for a cold target first.
+    warm_up_shares: tuple[float, ...] = (1.0, 1.0, 0.1, 0.0)
+    warm_up_bonus_s: float = 2.0
     unknown_limit: int = 1
 
     # Prefix beliefs.
--- a/packages/savoryyoke/savoryyoke/routing/decisions.py
+++ b/packages/savoryyoke/savoryyoke/routing/decisions.py
@@ -30,6 +30,7 @@
     PREFIX = 'prefix'
     AFFINITY = 'affinity'
     SAMPLED = 'sampled'
+    WARM_UP = 'warm_up'
     SCANNED = 'scanned'
 
 
--- a/packages/savoryyoke/savoryyoke/routing/scoring.py
+++ b/packages/savoryyoke/savoryyoke/routing/scoring.py
@@ -7,12 +7,14 @@
 class ServiceSummary:
     """Hold the means of a service over the targets of an entry.
 
-    ``mean_occupancy`` is the reported load as a multiple of the limit.
+    ``mean_occupancy`` is the reported load as a multiple of the limit;
+    ``cold_states`` are the targets that were cold or unknown.
     """
 
     mean_occupancy: float
     mean_first_token_s: float
     mean_call_s: float
+    cold_states: tuple
 
 
 def summarize(states, *, settings, now_s):
@@ -37,6 +39,7 @@
         mean_occupancy=load / limit if limit else 0.0,
         mean_first_token_s=first_token_s / count,
         mean_call_s=call_s / count,
+        cold_states=tuple(state for state in states if state.is_cold),
     )
 
 
--- a/packages/savoryyoke/savoryyoke/routing/targets.py
+++ b/packages/savoryyoke/savoryyoke/routing/targets.py
@@ -57,6 +57,9 @@
             return reason
         if report.cold:
             self._window = 1
+        elif self.is_cold:
+            # What was measured while cold says nothing about it now.
+            self._first_token = self._make_mean()
         self.report = report
         self.last_stamp_s = report.stamp_s
         # A process that wakes from a pause reads reports of long ago.
@@ -187,6 +190,9 @@
         if self.report is None:
             return float(self.own_calls)
         reported = self.report.running + self.report.queued
+        if self.report.cold:
+            # Its peers say nothing about it.
+            return reported + self._unreflected_cost
         kept = self.weigh_report(now_s=now_s)
         usual = mean_occupancy * self.report.limit
         load = usual + (reported - usual) * kept
--- a/packages/savoryyoke/tests/routing/test_health.py
+++ b/packages/savoryyoke/tests/routing/test_health.py
@@ -95,6 +95,61 @@
         )
 
 
+class WarmUpTest(unittest.TestCase):
+    """Check that a cold target gets the work that warms it up."""
+
+    def make_router(self, **changes):
+        """Return a router of busy targets, one of them cold."""
+        routed = support.make_router(entries=1)
+        support.warm(routed, running=8, **changes)
+        self.report(routed, 101.0, now_s=0.0, limit=2, cold=True)
+        return routed
+
+    def report(self, routed, stamp_s, *, now_s, **changes):
+        """Report target 3."""
+        report = support.make_report(3, stamp_s=stamp_s, **changes)
+        routed.apply(report, now_s=now_s)
+
+    def choose(self, routed, *, priority, now_s=0.0):
+        """Return the choice for a request of some importance."""
+        request = decisions.Request(service='letters', priority=priority)
+        return routed.choose(request, now_s)
+
+    def test_work_that_can_wait_goes_first(self):
+        """Send batch work to the cold target, and decisions elsewhere."""
+        routed = self.make_router()
+        for count in range(2):
+            choice = self.choose(routed, priority=0)
+            self.assertEqual('target-3', choice.target_id)
+            self.assertEqual(decisions.ChoiceReason.WARM_UP, choice.reason)
+            support.dispatch(routed, f'{count}', 'target-3', now_s=0.0)
+        self.assertNotEqual(
+            'target-3', self.choose(routed, priority=0).target_id
+        )
+        routed = self.make_router()
+        reasons = {self.choose(routed, priority=3).reason for _ in range(300)}
+        self.assertEqual({decisions.ChoiceReason.SAMPLED}, reasons)
+
+    def test_busy_peers_do_not_fill_a_cold_target(self):
+        """Use the free place of a cold target when all others are full."""
+        routed = self.make_router(queued=8)
+        self.report(routed, 102.0, now_s=1.0, running=1, limit=2, cold=True)
+        choice = self.choose(routed, priority=0, now_s=1.2)
+        self.assertIsInstance(choice, decisions.Chosen)
+        self.assertEqual('target-3', choice.target_id)
+
+    def test_slowness_while_cold_is_forgotten_when_warm(self):
+        """Give a warm target its share, however slow it was when cold."""
+        routed = self.make_router()
+        support.dispatch(routed, 'call', 'target-3', now_s=0.0)
+        first = events.FirstToken(call_id='call', latency_s=5.0)
+        routed.apply(first, now_s=0.0)
+        support.finish(routed, 'call', now_s=0.0)
+        self.report(routed, 102.0, now_s=1.0, running=8)
+        chosen = support.choose_many(routed, count=300, now_s=1.0)
+        self.assertGreater(chosen['target-3'], 10)
+
+
 class LeavingTest(unittest.TestCase):
     """Check that leaving targets and data centres get no new work."""
 
--- a/packages/savoryyoke/tests/routing/test_scoring.py
+++ b/packages/savoryyoke/tests/routing/test_scoring.py
@@ -16,6 +16,8 @@
     'near_equal_s': 0.0,
     'near_equal_ratio': 0.0,
     'affinity_steps': 0,
+    # The search for cold targets has a test of its own.
+    'warm_up_shares': (0.0, 0.0, 0.0, 0.0),
 }
 
 TARGET = strategies.fixed_dictionaries(
