Count only the calls that a target's state has seen start

Cause: a call that outlived its target's removal from the list was taken off the count of the same target seen again; the count fell below zero and a cold target got more than its share. Two modules had also grown past one job.

Change: calls are counted by id.

Test: one new one, seen red with the former count.

--- a/packages/savoryyoke/savoryyoke/routing/router.py
+++ b/packages/savoryyoke/savoryyoke/routing/router.py
@@ -1,12 +1,13 @@
 """Route the requests of one service to its targets."""
 
-import dataclasses
 import functools
 
 from savoryyoke.routing import bindings
+from savoryyoke.routing import calls
 from savoryyoke.routing import choices
 from savoryyoke.routing import conf
 from savoryyoke.routing import decisions
+from savoryyoke.routing import draws
 from savoryyoke.routing import events
 from savoryyoke.routing import exceptions
 from savoryyoke.routing import prefixes
@@ -14,16 +15,6 @@
 from savoryyoke.routing import scoring
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class _Call:
-    target_id: str
-    incarnation: int
-    priority: int
-    digests: tuple[bytes, ...]
-    matched: int
-    foreseen_wait_s: float
-
-
 class Router:
     """Choose targets for the requests of one service in one entry.
 
@@ -48,7 +39,7 @@
             settings=self._settings,
         )
         self._beliefs = prefixes.PrefixBeliefs(settings=self._settings)
-        self._draws = choices.Draws(generator=generator)
+        self._draws = draws.Draws(generator=generator)
         self._calls_by_id = {}
         self._summary = None
         self._revision = None
@@ -240,22 +231,13 @@
         if event.call_id in self._calls_by_id:
             reason = decisions.RejectionReason.DUPLICATE_CALL
             return _reject(event, event.call_id, reason)
-        digests = event.prefix_digests[: self._settings.digests_limit]
-        summary = self._get_summary(now_s=now_s)
-        load = state.estimate_load(
-            mean_occupancy=summary.mean_occupancy, now_s=now_s
-        )
-        self._calls_by_id[event.call_id] = _Call(
-            target_id=event.target_id,
-            incarnation=state.incarnation,
-            priority=event.priority,
-            digests=digests,
-            matched=self._beliefs.count_matched(
-                target_id=event.target_id, digests=digests
-            ),
-            foreseen_wait_s=state.estimate_wait(
-                load, call_s=summary.mean_call_s, now_s=now_s
-            ),
+        self._calls_by_id[event.call_id] = calls.start_call(
+            event,
+            state=state,
+            beliefs=self._beliefs,
+            summary=self._get_summary(now_s=now_s),
+            settings=self._settings,
+            now_s=now_s,
         )
         state.start_call(event.call_id, cost=event.cost, now_s=now_s)
         return ()
--- a/packages/savoryyoke/savoryyoke/routing/targets.py
+++ b/packages/savoryyoke/savoryyoke/routing/targets.py
@@ -25,7 +25,7 @@
         self.received_at_s = 0.0
         self.last_stamp_s = None
         self._lateness = lateness.LatenessEstimator()
-        self.own_calls = 0
+        self._own_call_ids = set()
         self._models = None
         self._models_stamp_s = -math.inf
         self.sharers_count = 0
@@ -105,13 +105,13 @@
 
     def start_call(self, call_id, *, cost, now_s):
         """Count a call sent to the target."""
-        self.own_calls += 1
+        self._own_call_ids.add(call_id)
         self._unreflected_by_call_id[call_id] = (now_s, cost)
         self._unreflected_cost += cost
 
     def end_call(self, call_id):
-        """Stop counting a call."""
-        self.own_calls -= 1
+        """Stop counting a call; ignore one that was never counted."""
+        self._own_call_ids.discard(call_id)
         self._settle_call(call_id)
 
     def record_first_token(self, latency_s, *, now_s):
@@ -157,6 +157,11 @@
         """Return whether a refusal still keeps such work away."""
         return now_s < self._held_until_s and priority <= self._held_priority
 
+    @property
+    def own_calls(self):
+        """Return how many calls this entry has at the target."""
+        return len(self._own_call_ids)
+
     @property
     def is_cold(self):
         """Return whether the target is cold or unknown."""
--- a/packages/savoryyoke/tests/routing/test_health.py
+++ b/packages/savoryyoke/tests/routing/test_health.py
@@ -56,6 +56,24 @@
         """Send a target without any report one call in all."""
         self.assertEqual(1, self.fill(report=False))
 
+    def test_answers_from_before_make_no_room(self):
+        """Ignore calls that ended after their target was taken anew."""
+        routed = support.make_router(targets=1, entries=1)
+        support.warm(routed, targets=1)
+        for count in range(3):
+            support.dispatch(routed, f'{count}', 'target-0', now_s=0.0)
+        gone = events.TargetGone(target_id='target-0', incarnation=1)
+        routed.apply(gone, now_s=0.0)
+        routed.apply(support.make_seen(0), now_s=0.0)
+        routed.plan_connections()
+        routed.apply(events.TargetReachable(target_id='target-0'), now_s=0.0)
+        for count in range(3):
+            support.finish(routed, f'{count}', now_s=0.0)
+        support.dispatch(routed, 'new', 'target-0', now_s=0.0)
+        self.assertIsInstance(
+            routed.choose(support.REQUEST, 0.0), decisions.NoTarget
+        )
+
     def test_cold_refusal_stops_work_until_the_next_report(self):
         """Hold work back from a target that says it is cold."""
         routed = support.make_router(targets=1, entry='entry-3')
