--- a/packages/savoryyoke-entry/savoryyoke_entry/fleet.py
+++ b/packages/savoryyoke-entry/savoryyoke_entry/fleet.py
@@ -18,6 +18,7 @@
 from savoryyoke_edge.settings import addresses
 from savoryyoke_entry import exceptions
 from savoryyoke_entry import links
+from savoryyoke_entry import suspects
 from savoryyoke_wire import messages
 
 
@@ -55,6 +56,11 @@
         """Pass an event to the retry rules and return their decisions."""
         return self._retries.apply(event, now_s=self._clock())
 
+    @property
+    def target_ids(self):
+        """Return the targets with links; the router knows which are its."""
+        return frozenset(self._links_by_target_id)
+
     def get_link(self, target_id):
         """Return the link to a target; raise ``LinkDown`` without one."""
         link = self._links_by_target_id.get(target_id)
@@ -78,6 +84,7 @@
         self._generations_by_target_id = {}
         self._services_by_name = {}
         self.routes = routes.Routes(limits=calls_conf.AttemptLimits())
+        self.suspects = suspects.Suspects(clock=clock)
 
     @property
     def services(self):
@@ -270,6 +277,7 @@
     def _take_load(self, link, load):
         for stamp in load.stamps:
             self.routes.hear(stamp)
+        self.suspects.take(load.crash_reports)
         row = self._rows_by_target_id.get(link.target_id)
         if row is None:
             return
