Script failures in a small language and prove promises

The promises need proof by scripted scenarios that operators can read.

The stand-ins print their address only once they listen: before, a fleet now and then failed to start with a refused connection. The engine can give a wrong token and the application can run a payment twice; with these two switches the checks on whole answers and on double runs turned red (packages/savoryyoke-fakes/tests/scenarios/test_processes.py).

--- a/packages/savoryyoke-fakes/savoryyoke_fakes/application.py
+++ b/packages/savoryyoke-fakes/savoryyoke_fakes/application.py
@@ -15,6 +15,7 @@
 
     payment_s: float = 0.005
     hang: bool = False
+    runs_per_payment: int = 1
 
 
 class Application:
@@ -34,6 +35,9 @@
             await request.send_json({'balance_cents': 12345})
         elif request.path == '/control/runs':
             await request.send_json(dict(self._runs_by_suffix))
+        elif request.path == '/control/started':
+            started = self._lookups + self._runs_by_suffix.total()
+            await request.send_json({'started': started})
         elif request.path == '/control/faults':
             changes = await request.read_json()
             self._faults = dataclasses.replace(self._faults, **changes)
@@ -44,7 +48,7 @@
     async def _pay(self, request):
         body = await request.read_json()
         reference = str(body.get('reference', ''))
-        self._runs_by_suffix[reference] += 1
+        self._runs_by_suffix[reference] += int(self._faults.runs_per_payment)
         run = self._runs_by_suffix[reference]
         if self._faults.hang:
             await anyio.sleep_forever()
--- a/packages/savoryyoke-fakes/savoryyoke_fakes/engine.py
+++ b/packages/savoryyoke-fakes/savoryyoke_fakes/engine.py
@@ -35,6 +35,7 @@
     truncate_after: int | None = None
     stall_after: int | None = None
     crash_text: str | None = None
+    wrong_token: int | None = None
     concurrency_before_collapse: int = 64
 
 
@@ -112,9 +113,11 @@
             interval_s = self._faults.token_interval_s
             if self._running > self._faults.concurrency_before_collapse:
                 interval_s *= 10
-            if interval_s:
+            if interval_s and index != indexes.start:
                 await anyio.sleep(interval_s)
-            choice = {'index': 0, 'text': compute_token(prompt, index) + ' '}
+            # A wrong token takes the place that another one should have.
+            shown = index + 1 if index == self._faults.wrong_token else index
+            choice = {'index': 0, 'text': compute_token(prompt, shown) + ' '}
             event = json.dumps({'token_index': index, 'choices': [choice]})
             await request.send_part(f'data: {event}\n\n'.encode())
         await request.send_part(b'data: [DONE]\n\n', last=True)
--- /dev/null
+++ b/packages/savoryyoke-fakes/savoryyoke_fakes/scenarios/__init__.py
@@ -0,0 +1,1 @@
+"""Run scripted scenarios of failures and check what is promised."""
--- a/packages/savoryyoke-fakes/savoryyoke_fakes/web.py
+++ b/packages/savoryyoke-fakes/savoryyoke_fakes/web.py
@@ -82,6 +82,8 @@
 async def serve(handle, *, listen_address='127.0.0.1:0', name):
     """Serve until cancelled; print the bound address first."""
     listener = servers.bind(addresses.parse_address(listen_address))
+    # Who reads the line below may connect before the server has started.
+    listener.listen()
     host, port = listener.getsockname()
     print(f'event=ready name={name} address={host}:{port}', flush=True)
     server = servers.build_server(
--- /dev/null
+++ b/packages/savoryyoke-fakes/tests/scenarios/test_processes.py
@@ -0,0 +1,49 @@
+"""Show that the checks over real processes turn red."""
+
+import unittest
+
+from savoryyoke_fakes.scenarios import parsing
+from savoryyoke_fakes.scenarios import runner
+
+HEAD = 'scenario "red"\npromise {promise}\nseed 1\nbacking processes\n'
+END = 'wait until 20 calls ended\nstop traffic\n'
+
+
+def run(promise, body):
+    """Run a scenario against processes and return its result."""
+    scenario = parsing.parse(HEAD.format(promise=promise) + body)
+    return runner.run(scenario, name='red')
+
+
+class RedTest(unittest.TestCase):
+    """Give each check a stand-in or a script that breaks its promise."""
+
+    def assert_broken(self, promise, body, problem):
+        """Check that the last line is broken, for the reason given."""
+        result = run(promise, body)
+        self.assertFalse(result.held)
+        self.assertIn(problem, result.problem)
+        line = (HEAD + body).count('\n')
+        self.assertTrue(result.problem.startswith(f'line {line}:'))
+
+    def test_application_that_runs_a_payment_twice(self):
+        self.assert_broken(
+            'at-most-once',
+            'set app-a runs_per_payment to 2\n'
+            'set app-b runs_per_payment to 2\n'
+            'start payments by members at 40 per second\n'
+            + END
+            + 'expect no payment ran twice\n',
+            'ran 2 times',
+        )
+
+    def test_engine_that_gives_a_wrong_token(self):
+        self.assert_broken(
+            'whole-answer',
+            'set engine-a wrong_token to 3\n'
+            'set engine-b wrong_token to 3\n'
+            'start completions by letters at 40 per second\n'
+            + END
+            + 'expect answers whole or refused\n',
+            'wrong',
+        )
