Keep refutations ahead of accusations when many members fail

Cause: at the loss of a data centre accusations filled every message.

Ruled out: counting updates that others repeat as sent.

Change: statements of members about themselves go first; updates that others repeat wait behind rarer ones; one more probe leaves on a tick while more than 24 updates wait; a failure that was suspected before is repeated three times only. Choosing whom to probe has its own module. The size estimates are raised to at least what the codec yields.

Seen red: one queue for both kinds, no waiting, no carrying over of transmissions, each in its own test.

--- a/packages/savoryyoke/savoryyoke/membership/aggregate.py
+++ b/packages/savoryyoke/savoryyoke/membership/aggregate.py
@@ -14,6 +14,7 @@
 from savoryyoke.membership import messages
 from savoryyoke.membership import probes
 from savoryyoke.membership import roster
+from savoryyoke.membership import schedule
 
 MemberState = messages.MemberState
 
@@ -62,6 +63,9 @@
             queue=self._queue,
             settings=settings,
         )
+        self._schedule = schedule.ProbeSchedule(
+            table=self._roster.table, queue=self._queue, settings=settings
+        )
         self._health = health.LocalHealth(settings=settings)
         self._ledger = probes.ProbeLedger()
         self._ticks = 0
@@ -131,7 +135,7 @@
         made.extend(self._ask_relays(now_s))
         if not self._health.is_doubting:
             made.extend(self._roster.expire(now_s=now_s, health=self._health))
-        made.extend(self._probe_next(now_s))
+        made.extend(self._probe_all(self._schedule.choose_next(), now_s))
         if self._ticks % self._settings.failed_probe_ticks == 0:
             self._roster.forget(now_s=now_s)
             made.extend(self._probe_gone())
@@ -169,7 +173,8 @@
         # say nothing about now.
         self._ledger.discard()
         made = self._doubt('paused', now_s)
-        made.extend(self._refresh(now_s))
+        chosen = self._schedule.choose_refresh(self._roster.suspected_ids())
+        made.extend(self._probe_all(chosen, now_s))
         return made
 
     def _find_silence(self, now_s):
@@ -221,8 +226,7 @@
         first = [correction] if correction else []
         if message.joining:
             first.append(self.record)
-            first.extend(self._sample_answering(message.sender_id))
-            first.extend(self._sample_gone())
+            first.extend(self._roster.sample(message.sender_id))
         fields = self._composer.compose(
             record=self.record, first=first, is_full=message.joining
         )
@@ -338,32 +342,13 @@
         relay = self._roster.table.get(relay_id)
         return decisions.Send(address=relay.address, message=request)
 
-    def _probe_next(self, now_s):
-        # Fixed subjects bound the time until somebody probes a member;
-        # random ones spread updates and stand in for observers that died.
-        turn, is_random = divmod(self._ticks, 2)
-        if is_random:
-            chosen = self._roster.table.choose(count=1)
-            return self._probe(chosen[0], now_s) if chosen else ()
-        vm_id = self._roster.table.successor(
-            step=turn % self._settings.fixed_subjects
-        )
-        return () if vm_id is None else self._probe(vm_id, now_s)
-
-    def _refresh(self, now_s):
-        chosen = self._roster.table.choose(count=self._settings.refresh_probes)
-        # Suspicions from before a pause are put to their members anew, who
-        # may have refuted them in the meantime.
-        suspected = self._roster.suspected_ids()
-        made = []
-        for vm_id in dict.fromkeys((*suspected, *chosen)):
-            made.extend(self._probe(vm_id, now_s))
-        return made
+    def _probe_all(self, vm_ids, now_s):
+        return [self._probe(vm_id, now_s) for vm_id in vm_ids]
 
     def _probe(self, vm_id, now_s):
         sequence = self._ledger.open_probe(subject_id=vm_id, now_s=now_s)
         address = self._roster.table.get(vm_id).address
-        return (self._ping(vm_id=vm_id, address=address, sequence=sequence),)
+        return self._ping(vm_id=vm_id, address=address, sequence=sequence)
 
     def _probe_gone(self):
         return [
@@ -402,17 +387,3 @@
             **self._composer.compose(record=self.record, first=[self.record]),
         )
         return decisions.Send(address=address, message=message)
-
-    def _sample_answering(self, joining_id):
-        chosen = self._roster.table.choose_answering(
-            count=self._settings.joining_sample, without=(joining_id,)
-        )
-        return [self.member(vm_id) for vm_id in chosen]
-
-    def _sample_gone(self):
-        chosen = self._roster.table.choose_gone(
-            count=self._settings.joining_sample
-        )
-        return [
-            members.without_profile(self.member(vm_id)) for vm_id in chosen
-        ]
--- a/packages/savoryyoke/savoryyoke/membership/conf.py
+++ b/packages/savoryyoke/savoryyoke/membership/conf.py
@@ -35,6 +35,9 @@
     # Those who heard of the suspicion time the failure themselves.
     failure_transmissions: int = 3
     updates_limit_bytes: int = 1_100
+    # Queued updates above which each tick sends further probes.
+    burst_updates: int = 24
+    burst_probes: int = 1
     # Members not alive that an answer to a joining member names.
     joining_sample: int = 8
     # Messages that carry the versions in full after a difference was seen.
--- a/packages/savoryyoke/savoryyoke/membership/roster.py
+++ b/packages/savoryyoke/savoryyoke/membership/roster.py
@@ -71,6 +71,7 @@
             if not update.address or update.state not in members.ANSWERING:
                 return ()
         elif update.precedence() <= known.precedence():
+            self._queue.note_repeat(update)
             return ()
         else:
             update = _complete(update, known)
@@ -115,6 +116,21 @@
         update = dataclasses.replace(known, state=MemberState.SUSPECT)
         return self._accept(update, known, now_s, health)
 
+    def sample(self, joining_id):
+        """Return updates that help a joining member to know the fleet."""
+        count = self._settings.joining_sample
+        answering = self.table.choose_answering(
+            count=count, without=(joining_id,)
+        )
+        gone = self.table.choose_gone(count=count)
+        return [
+            *map(self.table.get, answering),
+            *(
+                members.without_profile(self.table.get(vm_id))
+                for vm_id in gone
+            ),
+        ]
+
     def suspected_ids(self):
         """Return the members whose time to refute is running."""
         return tuple(self._deadlines_by_id)
--- a/packages/savoryyoke/savoryyoke/membership/sizes.py
+++ b/packages/savoryyoke/savoryyoke/membership/sizes.py
@@ -5,8 +5,8 @@
 """
 
 DATAGRAM_BYTES = 28
-MESSAGE_BYTES = 48
-UPDATE_BYTES = 34
+MESSAGE_BYTES = 60
+UPDATE_BYTES = 35
 VERSION_BYTES = 24
 ATTACHMENT_BYTES = 16
 
