--- /dev/null
+++ b/packages/savoryyoke/savoryyoke/groups/__init__.py
@@ -0,0 +1,1 @@
+"""Run expert-parallel groups: their maps, their orders and their ranks."""
--- /dev/null
+++ b/packages/savoryyoke/tests/groups/switching/__init__.py
@@ -0,0 +1,1 @@
+"""Test the groups package."""
