Wait in the process fleet until targets see their back ends

Cause: a target now notices that its back end died, and hands calls back until it accepts connections again. A test that starts a back end and goes on at once met a target that was still waiting. The change: being ready includes that each target whose back end runs has a limit above zero. No check of a test has changed.

--- a/packages/savoryyoke-fakes/savoryyoke_fakes/fleets.py
+++ b/packages/savoryyoke-fakes/savoryyoke_fakes/fleets.py
@@ -320,6 +320,22 @@
                 self.wait_for_status(
                     vm_id, ready=True, targets_connected=running
                 )
+        for vm_id in self._targets_by_id:
+            if self._is_whole(vm_id):
+                self._wait_for_backend(vm_id)
+
+    def _is_whole(self, vm_id):
+        """Tell whether a target VM's processes run."""
+        names = (vm_id, f'{vm_id}.backend')
+        return all(self.processes_by_name[name].running for name in names)
+
+    def _wait_for_backend(self, vm_id):
+        """Wait until a target has noticed that its back end is there."""
+        deadline_s = time.monotonic() + READY_TIMEOUT_S
+        while not self.read_status(vm_id)['limit']:
+            if time.monotonic() > deadline_s:
+                raise TimeoutError(f'{vm_id} does not see its back end')
+            time.sleep(POLL_S)
 
     def wait_for_status(self, name, **wanted):
         """Wait until a daemon's status shows the ``wanted`` fields."""
