--- /dev/null
+++ b/packages/savoryyoke/tests/groups/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Test the orders to engines."""
