Let requests wait a moment for room, and switch Nagle off

Cause: (1) entries refused at once what their lagging reports left no room for: 13 of 16 calls at the start of a cold fleet, and sequential calls of one caller at a target with a limit of 1. (2) The first token came 45 ms late: listeners were made without naming the protocol, and asyncio then leaves Nagle's algorithm on. Ruled out: queueing beyond a cold target's limit from the entries (the routing tests forbid it, since hundreds of entries act on one report). Change: a request without a target waits at the entry, in line by priority, for at most a share of the first token's 0.68 s; at most 256 wait for a service, the rest is refused at once. The directory always names a binding while a target is usable. Sockets name TCP.

--- a/packages/savoryyoke-edge/savoryyoke_edge/servers.py
+++ b/packages/savoryyoke-edge/savoryyoke_edge/servers.py
@@ -65,7 +65,10 @@
 
 def bind(address):
     """Return a listening-ready TCP socket bound to ``address``."""
-    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    # asyncio switches Nagle off only where the protocol is named.
+    listener = socket.socket(
+        socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP
+    )
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     listener.bind((address.host, address.port))
     listener.setblocking(False)
--- a/packages/savoryyoke-entry/savoryyoke_entry/conf.py
+++ b/packages/savoryyoke-entry/savoryyoke_entry/conf.py
@@ -23,3 +23,8 @@
 ISOLATION_PAUSE_S = 0.05
 # Time left at which a call stops waiting for another suspect's outcome.
 ISOLATION_RESERVE_S = 0.2
+FIRST_TOKEN_TARGET_S = 0.68
+# Shares of the target for the first token, by priority, lowest first.
+WAIT_SHARES = (0.25, 0.5, 1.0, 3.0)
+WAITING_LIMIT = 256
+TURN_POLL_S = 0.01
--- a/packages/savoryyoke-entry/savoryyoke_entry/fleet.py
+++ b/packages/savoryyoke-entry/savoryyoke_entry/fleet.py
@@ -19,6 +19,7 @@
 from savoryyoke_entry import exceptions
 from savoryyoke_entry import links
 from savoryyoke_entry import suspects
+from savoryyoke_entry import turns
 from savoryyoke_wire import messages
 
 
@@ -31,6 +32,7 @@
         self._clock = clock
         self._links_by_target_id = links_by_target_id
         self._retries = None
+        self.turns = turns.Turns(clock=clock)
 
     def configure(self, policy):
         """Apply the retry policy of the configuration in force."""
--- a/packages/savoryyoke-entry/savoryyoke_entry/relays.py
+++ b/packages/savoryyoke-entry/savoryyoke_entry/relays.py
@@ -87,7 +87,7 @@
             verdict = self._suspects.offer(self._call_id, self._fingerprint)
             if self._is_quarantined(verdict):
                 return await self._refuse_for_good()
-            choice = self._choose(verdict)
+            choice = await self._choose(verdict)
             if isinstance(choice, routing_decisions.NoTarget):
                 return await self._refuse(choice)
             await self._try_target(choice)
@@ -156,7 +156,7 @@
             return decision
         return None
 
-    def _choose(self, verdict):
+    async def _choose(self, verdict):
         """Return the router's choice, or that of the isolation."""
         if isinstance(verdict, quarantine_decisions.Isolate):
             self._crash_reports = verdict.reports
@@ -167,9 +167,7 @@
             )
         else:
             self._crash_reports = ()
-            choice = self._ask_router(
-                self._build_routing_request(frozenset(self._excluded))
-            )
+            choice = await self._choose_in_turn()
         observations.log_choice(
             self._call_id,
             self._attempt,
@@ -178,6 +176,21 @@
         )
         return choice
 
+    async def _choose_in_turn(self):
+        choice = self._ask_for_any()
+        if not isinstance(choice, routing_decisions.NoTarget):
+            return choice
+        return await self._service.turns.wait(
+            choice,
+            self._ask_for_any,
+            priority=self._request.priority,
+            deadline_s=self._request.deadline_s,
+        )
+
+    def _ask_for_any(self):
+        excluded = frozenset(self._excluded)
+        return self._ask_router(self._build_routing_request(excluded))
+
     def _ask_router(self, request):
         return self._service.router.choose(request, self._clock())
 
--- a/packages/savoryyoke-fakes/savoryyoke_fakes/fleets.py
+++ b/packages/savoryyoke-fakes/savoryyoke_fakes/fleets.py
@@ -1,6 +1,7 @@
 """Run a whole fleet of real processes against stand-ins."""
 
 import dataclasses
+import os
 import pathlib
 import tempfile
 import time
@@ -109,10 +110,12 @@
         targets=TARGETS,
         base_text=BASE_TEXT,
         report=None,
+        profile_directory=None,
     ):
         self._entries_by_id = {place.vm_id: place for place in entries}
         self._targets_by_id = {place.vm_id: place for place in targets}
         self._base_text = base_text
+        self._profile_directory = profile_directory
         self._report = report or (lambda text: None)
         self._directory = tempfile.TemporaryDirectory()
         self.processes_by_name = {}
@@ -120,6 +123,10 @@
         self.admin_addresses_by_name = {}
         self.control_addresses_by_name = {}
         self._leaving = set()
+        # Fleets that run at the same time would take each other's ports
+        # while a process is replaced, had they one address in common.
+        number = os.getpid() % (1 << 16)
+        self._host = f'127.{number >> 8}.{number & 255}.1'
 
     def __enter__(self):
         try:
@@ -191,7 +198,7 @@
 
     def _launch_stand_in(self, name, module):
         """Start a stand-in; a restarted one keeps its address."""
-        address = self.addresses_by_name.get(name, '127.0.0.1:0')
+        address = self.addresses_by_name.get(name, f'{self._host}:0')
         self._start(
             name,
             f'savoryyoke_fakes.{module}',
@@ -233,8 +240,8 @@
         self.control_addresses_by_name[vm_id] = fields['control_address']
 
     def _build_flags(self, vm_id, data_centre):
-        address = self.addresses_by_name.get(vm_id, '127.0.0.1:0')
-        control = self.control_addresses_by_name.get(vm_id, '127.0.0.1:0')
+        address = self.addresses_by_name.get(vm_id, f'{self._host}:0')
+        control = self.control_addresses_by_name.get(vm_id, f'{self._host}:0')
         platform = self.addresses_by_name['platform']
         return (
             f'--vm-id={vm_id}',
@@ -245,10 +252,18 @@
             f'--platform-url=http://{platform}',
         )
 
+    def _build_profiler(self, name):
+        """Return the arguments that let a daemon write a profile."""
+        is_daemon = name in self._targets_by_id or name in self._entries_by_id
+        if self._profile_directory is None or not is_daemon:
+            return []
+        path = pathlib.Path(self._profile_directory, f'{name}.profile')
+        return ['-m', 'cProfile', '-o', str(path)]
+
     def _start(self, name, module, *flags):
         process = processes.Process(
             name=name,
-            arguments=['-m', module, *flags],
+            arguments=[*self._build_profiler(name), '-m', module, *flags],
             log_path=pathlib.Path(self._directory.name, f'{name}.log'),
         )
         self.processes_by_name[name] = process
@@ -310,7 +325,10 @@
         return clients.call('GET', address, '/status').document
 
     def wait_until_ready(self):
-        """Wait until each running entry is connected to each target."""
+        """Wait until all daemons have the configuration and are connected."""
+        for vm_id in (*self._targets_by_id, *self._entries_by_id):
+            if self.processes_by_name[vm_id].running:
+                self._wait_for_configuration(vm_id)
         running = sum(
             self.processes_by_name[vm_id].running
             for vm_id in self._targets_by_id
@@ -337,6 +355,13 @@
                 raise TimeoutError(f'{vm_id} does not see its back end')
             time.sleep(POLL_S)
 
+    def _wait_for_configuration(self, name):
+        deadline_s = time.monotonic() + READY_TIMEOUT_S
+        while not self.read_status(name)['revision']:
+            if time.monotonic() > deadline_s:
+                raise TimeoutError(f'{name} has no configuration')
+            time.sleep(POLL_S)
+
     def wait_for_status(self, name, **wanted):
         """Wait until a daemon's status shows the ``wanted`` fields."""
         deadline_s = time.monotonic() + READY_TIMEOUT_S
--- a/packages/savoryyoke/savoryyoke/routing/bindings.py
+++ b/packages/savoryyoke/savoryyoke/routing/bindings.py
@@ -16,6 +16,9 @@
             # A key drawn this way orders the targets by weight at random.
             key = draws.draw() ** (1.0 / weight)
             weighted.append((key, state))
+    if not weighted:
+        # A caller without a binding could not even be refused truthfully.
+        weighted = [(draws.draw(), state) for state in registry.get_usable()]
     weighted.sort(key=lambda pair: -pair[0])
     return tuple(
         decisions.Binding(
