--- a/tools/measure/membership.py
+++ b/tools/measure/membership.py
@@ -35,6 +35,9 @@
     for entries, targets in FLEETS[2:]:
         if entries + targets <= largest:
             measure_data_centre_loss(entries, targets)
+    for entries, targets in FLEETS[1:4]:
+        if entries + targets <= largest:
+            measure_region_partition(entries, targets)
 
 
 def start(entries, targets):
@@ -77,6 +80,45 @@
     _measure_failures(fleet, 'membership_data_centre_loss', dead)
 
 
+def measure_region_partition(entries, targets):
+    """Measure how long two regions take to meet again after 30 s."""
+    fleet = start(entries, targets)
+    net = fleet.network
+    east = {vm.address for vm in fleet.vms if int(vm.data_centre[2:]) < 3}
+    net.is_blocked = lambda source, destination: (
+        (source in east) != (destination in east)
+    )
+    net.run(net.now_s + 30)
+    net.is_blocked = lambda source, destination: False
+    start_s = net.now_s
+    count = entries + targets
+    pairs = count * (count - 1)
+    alive_s = dict.fromkeys((0.5, 0.99, 1.0), 'not_in_120')
+    for second in range(1, 121):
+        net.run(start_s + second)
+        alive = _count_alive(fleet)
+        for share, reached_s in alive_s.items():
+            if reached_s == 'not_in_120' and alive >= share * pairs:
+                alive_s[share] = second
+        if alive == pairs:
+            break
+    reports.print_line(
+        'membership_region_partition',
+        processes=count,
+        views_right_50_s=alive_s[0.5],
+        views_right_99_s=alive_s[0.99],
+        views_right_all_s=alive_s[1.0],
+    )
+
+
+def _count_alive(fleet):
+    return sum(
+        update.state == messages.MemberState.ALIVE
+        for member in fleet.members_by_id.values()
+        for update in member.members()
+    )
+
+
 def _measure_failures(fleet, name, dead):
     for vm_id in dead:
         fleet.kill(vm_id)
