Refuse no work for the sake of a slow start

Cause: an entry that had not yet seen answers of warm targets gave each one call and refused the rest of a burst, though the targets reported room.

Change: when no target has room under the slow start, the warm ones are scanned again without it; limits by occupancy and the quotas of cold targets hold as before.

Tests: a burst is taken up to the limits, evenly; seen red with the second scan left out and with no slow start.

--- a/packages/savoryyoke/savoryyoke/routing/choices.py
+++ b/packages/savoryyoke/savoryyoke/routing/choices.py
@@ -16,6 +16,7 @@
         self._settings = settings
         self._now_s = now_s
         self._lowest_wait_s = None
+        self._unproven = False
 
     def choose(self, request):
         """Return `Chosen` or `NoTarget` for a request."""
@@ -34,9 +35,11 @@
         found = finder.find(request, digests=digests)
         candidates = self._score_all(found, request, digests=digests)
         if not candidates:
-            reason = decisions.ChoiceReason.SCANNED
-            found = {state.target_id: (state, reason) for state in usable}
-            candidates = self._score_all(found, request, digests=digests)
+            candidates = self._scan(request, digests=digests)
+        if not candidates:
+            # Slow starts spread work; they are no reason to refuse it.
+            self._unproven = True
+            candidates = self._scan(request, digests=digests)
         if not candidates:
             return self._refuse(request)
         return self._pick(candidates)
@@ -46,6 +49,14 @@
             mean_occupancy=self._summary.mean_occupancy, now_s=self._now_s
         )
 
+    def _scan(self, request, *, digests):
+        reason = decisions.ChoiceReason.SCANNED
+        found = {
+            state.target_id: (state, reason)
+            for state in self._registry.get_usable()
+        }
+        return self._score_all(found, request, digests=digests)
+
     def _score_all(self, found, request, *, digests):
         candidates = []
         for state, reason in found.values():
@@ -70,7 +81,10 @@
             load, call_s=self._summary.mean_call_s, now_s=self._now_s
         )
         if not state.has_room(
-            load, priority=request.priority, now_s=self._now_s
+            load,
+            priority=request.priority,
+            now_s=self._now_s,
+            unproven=self._unproven,
         ):
             return None
         if self._lowest_wait_s is None or wait_s < self._lowest_wait_s:
--- a/packages/savoryyoke/savoryyoke/routing/targets.py
+++ b/packages/savoryyoke/savoryyoke/routing/targets.py
@@ -219,11 +219,17 @@
         age_s = max(0.0, now_s - self.received_at_s)
         return math.exp(-age_s / self._settings.report_decay_s)
 
-    def has_room(self, load, *, priority, now_s):
-        """Return whether a further call of this importance may be sent."""
+    def has_room(self, load, *, priority, now_s, unproven=False):
+        """Return whether a further call of this importance may be sent.
+
+        ``unproven`` also allows what a warm target has not yet been seen
+        to bear.
+        """
         if self.is_held(priority=priority, now_s=now_s):
             return False
-        quota = self.get_quota(now_s=now_s)
+        quota = None
+        if self.is_cold or not unproven:
+            quota = self.get_quota(now_s=now_s)
         if quota is not None and self.own_calls >= quota:
             return False
         limits = self._settings.occupancy_limits
--- a/packages/savoryyoke/tests/routing/test_health.py
+++ b/packages/savoryyoke/tests/routing/test_health.py
@@ -1,5 +1,6 @@
 """Test that work keeps away from cold, leaving and unknown targets."""
 
+import collections
 import unittest
 
 from savoryyoke.routing import decisions
@@ -168,6 +169,27 @@
         self.assertGreater(chosen['target-3'], 10)
 
 
+class SlowStartTest(unittest.TestCase):
+    """Check warm targets that have not answered this entry yet."""
+
+    def test_slow_start_spreads_calls_and_refuses_none(self):
+        """Take a burst up to the targets' limits, evenly."""
+        routed = support.make_router(targets=3, entries=1)
+        for number in range(3):
+            routed.apply(support.make_report(number, limit=4), now_s=0.0)
+        chosen = collections.Counter()
+        for count in range(12):
+            choice = routed.choose(
+                decisions.Request(service='letters', priority=0), 0.0
+            )
+            self.assertIsInstance(choice, decisions.Chosen, count)
+            chosen[choice.target_id] += 1
+            support.dispatch(routed, f'{count}', choice.target_id, now_s=0.0)
+            if count == 2:
+                self.assertEqual({1}, set(chosen.values()))
+        self.assertEqual({4}, set(chosen.values()))
+
+
 class LeavingTest(unittest.TestCase):
     """Check that leaving targets and data centres get no new work."""
 
