Queue datagrams and functions of the test network in one way

Cause: three places pushed onto the network's queue by hand.

Change: call_at takes both kinds of items; no check changed.

--- a/packages/savoryyoke/tests/membership/network.py
+++ b/packages/savoryyoke/tests/membership/network.py
@@ -57,10 +57,10 @@
         """Freeze a process; its datagrams wait and its ticks are lost."""
         self._paused_until_s[address] = self.now_s + seconds
 
-    def call_at(self, time_s, function):
-        """Run a function at a virtual time."""
+    def call_at(self, time_s, item):
+        """Run a function, or deliver a datagram, at a virtual time."""
         self._count += 1
-        heapq.heappush(self._queue, (time_s, self._count, function))
+        heapq.heappush(self._queue, (time_s, self._count, item))
 
     def send(self, source, destination, message):
         """Send one datagram, which may be lost, late or doubled."""
@@ -71,9 +71,7 @@
         low_s, high_s = self.delays_s
         for _ in range(copies):
             due_s = self.now_s + low_s + draw() * (high_s - low_s)
-            self._count += 1
-            item = (due_s, self._count, (source, destination, message))
-            heapq.heappush(self._queue, item)
+            self.call_at(due_s, (source, destination, message))
 
     def run(self, until_s):
         """Run until a virtual time."""
@@ -90,9 +88,7 @@
         source, destination, message = item
         resume_s = self._paused_until_s.get(destination, 0.0)
         if resume_s > self.now_s:
-            self._count += 1
-            item = (resume_s + 1e-6, self._count, item)
-            heapq.heappush(self._queue, item)
+            self.call_at(resume_s + 1e-6, item)
             return
         receive = self._receivers.get(destination)
         if receive is not None:
@@ -121,8 +117,7 @@
         self.vms_by_id = {vm.vm_id: vm for vm in self.vms}
         self.members_by_id = {}
         self.logs_by_id = {vm.vm_id: [] for vm in self.vms}
-        self.sent = self.sent_bytes = 0
-        self.largest_bytes = 0
+        self.sent = self.sent_bytes = self.largest_bytes = 0
         self._incarnations = 0
 
     def start_all(self):
