--- a/packages/savoryyoke-entry/savoryyoke_entry/conf.py
+++ b/packages/savoryyoke-entry/savoryyoke_entry/conf.py
@@ -28,6 +28,6 @@
 # Shares of the target for the first token, by priority, lowest first.
 WAIT_SHARES = (0.25, 0.5, 1.0, 3.0)
 WAITING_LIMIT = 256
-TURN_POLL_S = 0.01
+TURN_POLL_S = 0.005
 LOAN_PERIOD_S = 1.0
 SEAL_TIMEOUT_S = 1.0
--- a/packages/savoryyoke-target/savoryyoke_target/commands/run.py
+++ b/packages/savoryyoke-target/savoryyoke_target/commands/run.py
@@ -24,4 +24,4 @@
     async def main():
         await daemon.Daemon(settings=settings).run()
 
-    anyio.run(main)
+    anyio.run(main, backend_options={'use_uvloop': True})
