--- a/packages/savoryyoke/savoryyoke/routing/conf.py
+++ b/packages/savoryyoke/savoryyoke/routing/conf.py
@@ -49,6 +49,8 @@
     latency_weight: float = 0.2
     latency_half_life_s: float = 10.0
     straggler_limit_s: float = 5.0
+    token_half_life_s: float = 30.0
+    token_slowness_penalty_s: float = 0.3
 
     # Cold targets.
     cold_rotation_s: float = 1.0
--- a/packages/savoryyoke/savoryyoke/routing/events.py
+++ b/packages/savoryyoke/savoryyoke/routing/events.py
@@ -163,11 +163,15 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Completed:
-    """Report the end of a call; ``latency_s`` counts from its dispatch."""
+    """Report the end of a call; ``latency_s`` counts from its dispatch.
+
+    ``token_s`` is the mean time between tokens, None where not known.
+    """
 
     call_id: str
     outcome: Outcome
     latency_s: float
+    token_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/savoryyoke/savoryyoke/routing/router.py
+++ b/packages/savoryyoke/savoryyoke/routing/router.py
@@ -274,7 +274,9 @@
             return ()
         state.end_call(event.call_id)
         if event.outcome is events.Outcome.ANSWERED:
-            state.record_answer(event.latency_s, now_s=now_s)
+            state.record_answer(
+                event.latency_s, token_s=event.token_s, now_s=now_s
+            )
         elif event.outcome is events.Outcome.FAILED:
             state.record_failure(now_s=now_s)
         return ()
--- a/packages/savoryyoke/savoryyoke/routing/scoring.py
+++ b/packages/savoryyoke/savoryyoke/routing/scoring.py
@@ -14,6 +14,7 @@
     mean_occupancy: float
     mean_first_token_s: float
     mean_call_s: float
+    mean_token_s: float
     cold_states: tuple
 
 
@@ -39,10 +40,30 @@
         mean_occupancy=load / limit if limit else 0.0,
         mean_first_token_s=first_token_s / count,
         mean_call_s=call_s / count,
+        mean_token_s=_average_tokens(states),
         cold_states=tuple(state for state in states if state.is_cold),
     )
 
 
+def _average_tokens(states):
+    """Return the mean time between tokens where known, else 0."""
+    known_s = [
+        state.last_token_s
+        for state in states
+        if state.last_token_s is not None
+    ]
+    return sum(known_s) / len(known_s) if known_s else 0.0
+
+
+def _rate_slow_tokens(state, *, summary, settings, now_s):
+    usual_s = summary.mean_token_s
+    if not usual_s:
+        return 0.0
+    own_s = state.read_token(now_s=now_s, default=usual_s)
+    slowness = max(0.0, own_s / usual_s - 1.0)
+    return min(1.0, slowness) * settings.token_slowness_penalty_s
+
+
 def score_target(state, *, load, wait_s, saving_s, summary, settings, now_s):
     """Return the expected time to the first token, in seconds.
 
@@ -57,6 +78,9 @@
     occupancy = load / max(1, state.limit)
     score_s = wait_s + state.distance_s + straggler_s - saving_s
     score_s += summary.mean_first_token_s * (1.0 + occupancy)
+    score_s += _rate_slow_tokens(
+        state, summary=summary, settings=settings, now_s=now_s
+    )
     # A target that fails at once looks idle.
     failures = state.read_failures(now_s=now_s)
     score_s += failures * settings.failure_penalty_s
--- a/packages/savoryyoke/savoryyoke/routing/targets.py
+++ b/packages/savoryyoke/savoryyoke/routing/targets.py
@@ -38,6 +38,7 @@
         self._first_token = self._make_mean()
         self._call = self._make_mean()
         self._failures = self._make_mean()
+        self._token = self._make_token_mean()
 
     def _make_mean(self):
         return utils.DecayingMean(
@@ -45,6 +46,12 @@
             half_life_s=self._settings.latency_half_life_s,
         )
 
+    def _make_token_mean(self):
+        return utils.DecayingMean(
+            weight=self._settings.latency_weight,
+            half_life_s=self._settings.token_half_life_s,
+        )
+
     def accept_report(self, report, *, now_s):
         """Take a load report; return why it is rejected, or None."""
         reason = checks.check_report(
@@ -60,6 +67,7 @@
         elif self.is_cold:
             # What was measured while cold says nothing about it now.
             self._first_token = self._make_mean()
+            self._token = self._make_token_mean()
         self.report = report
         self.last_stamp_s = report.stamp_s
         # A process that wakes from a pause reads reports of long ago.
@@ -126,8 +134,13 @@
             if limit and not self.report.cold and self._window >= limit:
                 self._window = None
 
-    def record_answer(self, latency_s, *, now_s):
-        """Take the length of an answered call as a sample."""
+    def record_answer(self, latency_s, *, token_s, now_s):
+        """Take the length of an answered call as a sample.
+
+        ``token_s`` is its mean time between tokens, or None.
+        """
+        if token_s is not None:
+            self._token.add(token_s, now_s=now_s)
         self._call.add(latency_s, now_s=now_s)
         self._failures.add(0.0, now_s=now_s)
 
@@ -182,6 +195,15 @@
         """Return the usual length of a call, in seconds."""
         return self._call.read(now_s=now_s, default=default)
 
+    @property
+    def last_token_s(self):
+        """Return the last mean time between tokens, or None."""
+        return self._token.value
+
+    def read_token(self, *, now_s, default):
+        """Return the usual time between tokens, in seconds."""
+        return self._token.read(now_s=now_s, default=default)
+
     def read_failures(self, *, now_s):
         """Return the share of calls that failed lately, 0 to 1."""
         return self._failures.read(now_s=now_s, default=0.0)
--- a/packages/savoryyoke/savoryyoke/routing/utils.py
+++ b/packages/savoryyoke/savoryyoke/routing/utils.py
@@ -22,6 +22,11 @@
             self._value += self._weight * (sample - self._value)
         self._updated_at_s = now_s
 
+    @property
+    def value(self):
+        """Return the average as of the last sample, None without any."""
+        return self._value
+
     def read(self, *, now_s, default):
         """Return the average, drawn towards ``default`` as it ages."""
         if self._value is None:
--- a/packages/savoryyoke/tests/routing/support.py
+++ b/packages/savoryyoke/tests/routing/support.py
@@ -87,7 +87,7 @@
     )
 
 
-def finish(routed, call_id, *, now_s, latency_s=1.0):
+def finish(routed, call_id, *, now_s, latency_s=1.0, token_s=None):
     """Tell a router that a call was answered."""
     first = events.FirstToken(call_id=call_id, latency_s=0.2)
     routed.apply(first, now_s=now_s)
@@ -96,6 +96,7 @@
             call_id=call_id,
             outcome=events.Outcome.ANSWERED,
             latency_s=latency_s,
+            token_s=token_s,
         ),
         now_s=now_s,
     )
--- a/packages/savoryyoke/tests/routing/test_router.py
+++ b/packages/savoryyoke/tests/routing/test_router.py
@@ -72,6 +72,21 @@
         later = support.choose_many(routed, count=300, now_s=90.0)
         self.assertGreater(later['target-3'], 10)
 
+    def test_slow_generation_is_avoided(self):
+        """Avoid a target that is slow between tokens only."""
+        routed = support.make_router()
+        support.warm(routed)
+        for number in range(12):
+            call_id = f'call-{number}'
+            target_id = support.make_target_id(number)
+            support.dispatch(routed, call_id, target_id, now_s=0.0)
+            token_s = 0.05 if number == 3 else 0.02
+            support.finish(routed, call_id, now_s=0.0, token_s=token_s)
+        routed.apply(support.make_report(0, stamp_s=101.0), now_s=0.0)
+        chosen = support.choose_many(routed, count=300)
+        self.assertLess(chosen['target-3'], 10)
+        self.assertEqual(12 - 1, len(set(chosen) - {'target-3'}))
+
     def test_target_that_fails_at_once_is_avoided(self):
         """Avoid an idle target whose calls fail, and try it again."""
         routed = support.make_router()
--- a/tools/measure/routing_policies.py
+++ b/tools/measure/routing_policies.py
@@ -198,6 +198,7 @@
             call_id=call.attempt_id,
             outcome=outcome,
             latency_s=self.world.now_s - call.sent_s,
+            token_s=call.token_s,
         )
         self._apply(completed)
 
