Connect each entry to the targets that its routers select

Cause: every entry connected to every target: 455,000 connections and as many load reports at the size two years on; and the routers did not know the other entries, so that each took the whole of a cold target's limit. Ruled out: a subset for idempotent calls only (the load reports are the cost); connecting at random (1 to 22 entries a target, measured by the author of routing). Change: the list of VMs shows targets and peers to the routers, whose plan makes and ends connections; a bound key that names another target makes a connection on demand.

--- a/packages/savoryyoke-entry/savoryyoke_entry/fleet.py
+++ b/packages/savoryyoke-entry/savoryyoke_entry/fleet.py
@@ -83,6 +83,7 @@
         self._links_by_target_id = {}
         self._scopes_by_target_id = {}
         self._rows_by_target_id = {}
+        self._data_centres_by_entry_id = {}
         self._generations_by_target_id = {}
         self._services_by_name = {}
         self.routes = routes.Routes(limits=calls_conf.AttemptLimits())
@@ -146,23 +147,74 @@
         )
         for service in self._services_by_name.values():
             service.feed(event)
-        for row in self._rows_by_target_id.values():
-            self._ensure_link(row)
+        self._plan_links()
 
     def apply_vms(self, vm_list):
         """Follow the platform's list of VMs."""
+        self._data_centres_by_entry_id = {
+            vm.vm_id: vm.data_centre
+            for vm in vm_list.vms
+            if vm.role == 'entry' and vm.state == 'live'
+        }
         rows = {vm.vm_id: vm for vm in vm_list.vms if vm.role == 'target'}
+        for target_id in set(self._rows_by_target_id) - set(rows):
+            self._feed_target(target_id, routing_events.TargetGone)
+            self._drop_link(target_id)
+            del self._rows_by_target_id[target_id]
         for target_id, row in rows.items():
             known = self._rows_by_target_id.get(target_id)
             if known is not None and known.address != row.address:
                 self._drop_link(target_id)
             self._rows_by_target_id[target_id] = row
-            self._ensure_link(row)
-            if row.state == 'leaving':
-                self._report_leaving(target_id)
-        for target_id in set(self._rows_by_target_id) - set(rows):
-            del self._rows_by_target_id[target_id]
-            self._drop_link(target_id)
+        self._plan_links()
+
+    def _plan_links(self):
+        """Connect to the targets that each service's router selects."""
+        peers = routing_events.PeersChanged(
+            data_centres_by_entry_id=self._data_centres_by_entry_id
+        )
+        for service in self._services_by_name.values():
+            service.feed(peers)
+        for row in self._rows_by_target_id.values():
+            self._show_row(row)
+        for service in self._services_by_name.values():
+            change = service.router.plan_connections()
+            for target_id in change.connect:
+                self._ensure_link(self._rows_by_target_id[target_id])
+            for target_id in change.disconnect:
+                self._drop_link(target_id)
+
+    def _show_row(self, row):
+        service = self._services_by_name.get(row.service)
+        if service is None:
+            return
+        generation, _ = self._generations_by_target_id.setdefault(
+            row.vm_id, (0, None)
+        )
+        service.feed(
+            routing_events.TargetSeen(
+                target_id=row.vm_id,
+                incarnation=generation,
+                data_centre=row.data_centre,
+                address=row.address,
+            )
+        )
+        if row.state == 'leaving':
+            self._report_leaving(row.vm_id)
+
+    async def reach(self, target_id):
+        """Return the link to a target once it is up.
+
+        A bound key may name a target that this entry is not connected to.
+        Raise ``LinkDown`` where it does not come up in time.
+        """
+        row = self._rows_by_target_id.get(target_id)
+        if row is None:
+            raise exceptions.LinkDown(target_id)
+        self._ensure_link(row)
+        link = self.get_link(target_id)
+        await link.wait_until_up(self._settings.connect_timeout_s)
+        return link
 
     def apply_member(self, decision):
         """Follow what membership says of a target's process."""
@@ -209,7 +261,6 @@
         scope = self._scopes_by_target_id.pop(target_id, None)
         if scope is not None:
             scope.cancel()
-        self._feed_target(target_id, routing_events.TargetGone)
 
     def on_up(self, link):
         """Tell the router that a target is connected."""
@@ -235,10 +286,9 @@
         Incarnations are random; the router needs to know which is newer,
         and a connection made later reaches the newer one.
         """
-        known = self._generations_by_target_id.get(link.target_id)
-        if known is None:
-            known = (0, None)
-        generation, incarnation = known
+        generation, incarnation = self._generations_by_target_id[
+            link.target_id
+        ]
         if incarnation != link.peer.incarnation:
             generation += 1
         self._generations_by_target_id[link.target_id] = (
--- a/packages/savoryyoke-entry/savoryyoke_entry/keyed.py
+++ b/packages/savoryyoke-entry/savoryyoke_entry/keyed.py
@@ -199,16 +199,31 @@
 
     @_carry_out.register
     def _(self, decision: attempt_decisions.Send):
-        number = decision.message.number
+        # A caller that left cancels the tasks of its attempt, so the last
+        # message goes out here, if there is a connection.
         try:
             link = self._fleet.get_link(decision.target_id)
-            channel = link.open_channel()
-            link.send(self._build_call(channel, decision.message))
+            channel = self._send(link, decision.message)
+        except exceptions.LinkDown:
+            self._tasks.start_soon(self._reach, decision)
+            return
+        self._tasks.start_soon(self._receive, channel, decision.message.number)
+
+    def _send(self, link, message):
+        channel = link.open_channel()
+        link.send(self._build_call(channel, message))
+        return channel
+
+    async def _reach(self, decision):
+        """Connect to the target first, then send."""
+        number = decision.message.number
+        try:
+            link = await self._fleet.reach(decision.target_id)
+            channel = self._send(link, decision.message)
         except exceptions.LinkDown:
-            # The machine may go on with an heir, so this runs after it.
-            self._tasks.start_soon(self._report_unreachable, number)
+            await self._report_unreachable(number)
             return
-        self._tasks.start_soon(self._receive, channel, number)
+        await self._receive(channel, number)
 
     async def _report_unreachable(self, number):
         self._feed(
--- a/packages/savoryyoke-entry/savoryyoke_entry/links.py
+++ b/packages/savoryyoke-entry/savoryyoke_entry/links.py
@@ -58,6 +58,14 @@
         self._connection = None
         self._numbers = itertools.count(1)
         self._channels_by_call_id = {}
+        self._up = anyio.Event()
+
+    async def wait_until_up(self, timeout_s):
+        """Return once there is a connection; raise ``LinkDown`` if not."""
+        with anyio.move_on_after(timeout_s):
+            await self._up.wait()
+        if self._connection is None:
+            raise exceptions.LinkDown(self.target_id)
 
     @property
     def peer(self):
@@ -117,10 +125,12 @@
             incarnation=f'{connection.peer.incarnation:016x}',
         )
         self._owner.on_up(self)
+        self._up.set()
         try:
             await connection.run(self._take, early)
         finally:
             self._connection = None
+            self._up = anyio.Event()
             logs.write_event('link_down', target=self.target_id)
             self._owner.on_down(self)
             for channel in list(self._channels_by_call_id.values()):
