--- a/packages/savoryyoke-fakes/savoryyoke_fakes/scenarios/process_backing.py
+++ b/packages/savoryyoke-fakes/savoryyoke_fakes/scenarios/process_backing.py
@@ -197,7 +197,7 @@
         last_s, elsewhere = self._work.find_last_start(
             step.place, since_s=placed_s, bound_s=step.seconds
         )
-        self.figures['last_start_s'] = f'{last_s:.1f}'
+        self.figures[f'last_start_at_{step.place}_s'] = f'{last_s:.1f}'
         self.figures['started_elsewhere'] = elsewhere
         if last_s > step.seconds:
             _expect(step, [f'{step.place} got work after {last_s:.1f} s'])
@@ -235,11 +235,12 @@
         process = self._get_process(step)
         status = process.wait()
         self.figures['exit_status'] = status
-        log = process.read_log()
         if status != 0:
             _expect(step, [f'{step.place} ended with status {status}'])
-        if 'event=drain_finished' not in log or 'unfinished=0' not in log:
-            _expect(step, [f'{step.place} left calls unfinished'])
+        last = process.wait_for_event('drain_finished')
+        # Targets count calls as unfinished, entries as in flight.
+        if '0' not in (last.get('unfinished'), last.get('in_flight')):
+            _expect(step, [f'{step.place} left calls unfinished: {last}'])
 
     def _publish(self):
         self._revision = self._fleet.publish('base', self._base.render())
--- a/packages/savoryyoke-fakes/savoryyoke_fakes/scenarios/workloads.py
+++ b/packages/savoryyoke-fakes/savoryyoke_fakes/scenarios/workloads.py
@@ -69,7 +69,8 @@
         }
         first = before = self.count_started()
         last_s = 0.0
-        while time.monotonic() - since_s < bound_s + OBSERVED_S:
+        end_s = max(since_s + bound_s, time.monotonic()) + OBSERVED_S
+        while time.monotonic() < end_s:
             time.sleep(POLL_S)
             after = self.count_started()
             if any(after.get(v, 0) > before.get(v, 0) for v in inside):
--- a/packages/savoryyoke-fakes/tests/scenarios/test_processes.py
+++ b/packages/savoryyoke-fakes/tests/scenarios/test_processes.py
@@ -47,3 +47,32 @@
             + 'expect answers whole or refused\n',
             'wrong',
         )
+
+    def test_target_that_is_killed_instead_of_drained(self):
+        self.assert_broken(
+            'graceful-stop',
+            'start lookups by members at 20 per second\n'
+            + END
+            + 'kill engine-a\n'
+            'expect clean exit of engine-a\n',
+            'ended with status -9',
+        )
+
+    def test_data_centre_that_stays_in(self):
+        self.assert_broken(
+            'data-centre-out',
+            'start completions by letters at 40 per second\n'
+            'wait until 20 calls ended\n'
+            'publish data centre dc-a in\n'
+            'expect no new work at dc-a after 1 s\n',
+            'dc-a got work after',
+        )
+
+    def test_change_that_cannot_be_read(self):
+        self.assert_broken(
+            'config-in-force',
+            'platform down\n'
+            'publish team crews\n'
+            'expect configuration in force within 2 s\n',
+            'has 3.2, not 4',
+        )
