Plan expert maps that pay for their move

Cause: expert popularity drifts, and each step waits for the rank with the hottest experts. Placing all experts anew evens the load but moves most of the weights. The search starts from the map in force, improves its slowest rank by single replacements and exchanges, and takes of all layers the changes with the largest gain for each weight, within the store's rate and the ranks' spare memory, while the time saved exceeds the time lost to loading. Load is averaged over the time that has predicted best of late.

--- /dev/null
+++ b/packages/savoryyoke/savoryyoke/groups/planning/conf.py
@@ -0,0 +1,22 @@
+"""Defaults of map planning, in one place."""
+
+# The norm that stands for the maximum, so that ranks that are nearly the
+# slowest count as well.
+NORM_EXPONENT = 32
+LAYER_MOVES_MAX = 48
+
+HORIZON_S = 120.0
+SLOWDOWN_WHILE_LOADING = 0.05
+WEIGHT_BYTES = 44_000_000
+STORE_BYTES_PER_S = 1_000_000_000.0
+LOADING_MAX_S = 10.0
+RANK_MOVES_MAX = 16
+
+LOAD_TIME_CONSTANTS_S = (4.0, 15.0, 60.0)
+FORECAST_LEAD_S = 20.0
+ERROR_TIME_CONSTANT_S = 60.0
+JUMP_AFTER_REPORTS = 20
+JUMP_FACTOR = 2.0
+PLAN_INTERVAL_S = 10.0
+RATIO_WORTH_PLANNING = 1.03
+GAIN_MIN = 0.01
--- /dev/null
+++ b/packages/savoryyoke/savoryyoke/groups/planning/events.py
@@ -0,0 +1,36 @@
+"""Events of the rebalancer."""
+
+import dataclasses
+
+import numpy
+
+from savoryyoke.groups.planning import maps
+from savoryyoke.groups.planning import search
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, eq=False)
+class LoadReported:
+    """Report tokens a step of each expert, of shape (layers, experts)."""
+
+    loads: numpy.ndarray
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, eq=False)
+class SpeedsEstimated:
+    """Report the relative speed of each rank."""
+
+    speeds: numpy.ndarray
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class MapInForce:
+    """Report the map that the ranks run, when it or a change has ended."""
+
+    expert_map: maps.ExpertMap
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class PlanFound:
+    """Report the end of a search."""
+
+    plan: search.MapPlan
--- /dev/null
+++ b/packages/savoryyoke/tests/groups/planning/__init__.py
@@ -0,0 +1,1 @@
+"""Test the planning of expert maps."""
