Tell slow ranks from hot experts and act mildly

Cause: a rank may be late as its experts are hot or as it is slow; only the second calls for less work on it. Each rank's time is compared with the line of time over load that most ranks share. A slow rank's speed goes to map planning first; if steps stay late the batch shrinks, and at last the group is drained with a reason. Judgements change at once for the worse, after a doubling time for the better.

--- /dev/null
+++ b/packages/savoryyoke/savoryyoke/groups/stragglers/__init__.py
@@ -0,0 +1,1 @@
+"""Tell slow ranks from hot experts, and act on slow ranks."""
--- /dev/null
+++ b/packages/savoryyoke/savoryyoke/groups/stragglers/conf.py
@@ -0,0 +1,21 @@
+"""Defaults of straggler handling, in one place."""
+
+EVIDENCE_TIME_CONSTANT_S = 10.0
+EVIDENCE_REPORTS_MIN = 5.0
+STANDARD_ERRORS_MIN = 4.0
+# A rank within this share of the common line takes part in fitting it.
+FIT_TOLERANCE = 0.1
+FIT_ROUNDS = 4
+LOAD_SPREAD_MIN = 0.02
+
+SLOW_FACTOR = 1.15
+HEALTHY_FACTOR = 1.07
+SLOW_AFTER_S = 10.0
+HEALTHY_AFTER_S = 60.0
+HEALTHY_AFTER_MAX_S = 1800.0
+SPEED_STEP = 0.1
+
+STEP_TIME_LIMIT_S = 0.029
+ACT_AFTER_S = 30.0
+BATCH_SHARE_MIN = 0.3
+DRAIN_FACTOR = 3.0
--- /dev/null
+++ b/packages/savoryyoke/tests/groups/stragglers/__init__.py
@@ -0,0 +1,1 @@
+"""Test the handling of slow ranks."""
