--- a/packages/savoryyoke/tests/groups/switching/test_schedules.py
+++ b/packages/savoryyoke/tests/groups/switching/test_schedules.py
@@ -121,6 +121,12 @@
         start = _start_offering(ranks=2, faults=2, proposals=((0, 2),))
         _explore(worlds.Simulator(), start, depth=6)
 
+    def test_the_next_change_while_the_words_are_under_way(self):
+        simulator = worlds.Simulator()
+        start = _start_offering(ranks=2, faults=1, proposals=((0, 2),))
+        start = _follow(simulator, start, 'contribute:0 contribute:1')
+        _explore(simulator, start, depth=7)
+
     def test_three_ranks_around_the_switch(self):
         start = _start_offering(ranks=3, faults=1, proposals=((0, 2),))
         _explore(worlds.Simulator(), start, depth=5)
