Run scenarios on the decisions in virtual time

Some failures cannot be caused between processes on one machine, such as a partition, and others need exact counts of what an engine runs.

Two small backings drive the aggregates of calls, and of admission and routing, through the same steps. A step draws failures at random, with processes as well.

--- a/packages/savoryyoke-fakes/savoryyoke_fakes/scenarios/parsing.py
+++ b/packages/savoryyoke-fakes/savoryyoke_fakes/scenarios/parsing.py
@@ -56,6 +56,7 @@
     'publish_team': (steps.PublishTeam, ('team',)),
     'publish_state': (steps.PublishState, ('data_centre', 'state')),
     'publish_invalid': (steps.PublishInvalid, ()),
+    'fail_at_random': (steps.FailAtRandom, ('seconds',)),
     'wait_seconds': (steps.WaitSeconds, ('seconds',)),
     'wait_ended': (steps.WaitEnded, ('count',)),
     'wait_ready': (steps.WaitReady, ()),
--- a/packages/savoryyoke-fakes/savoryyoke_fakes/scenarios/process_backing.py
+++ b/packages/savoryyoke-fakes/savoryyoke_fakes/scenarios/process_backing.py
@@ -1,10 +1,12 @@
 """Run the steps of a scenario with real processes on loopback."""
 
 import functools
+import random
 import time
 
 from savoryyoke_fakes import fleets
 from savoryyoke_fakes.scenarios import configurations
+from savoryyoke_fakes.scenarios import disorder
 from savoryyoke_fakes.scenarios import exceptions
 from savoryyoke_fakes.scenarios import judging
 from savoryyoke_fakes.scenarios import steps
@@ -13,6 +15,7 @@
 
 POLL_S = 0.05
 WAIT_S = 60.0
+FAILURE_S = (0.5, 2.0)
 INVALID_TEXT = 'schema_version: 1\nteams: {}\n'
 DAEMONS = tuple(place.vm_id for place in fleets.ENTRIES + fleets.TARGETS)
 ENTRY_IDS = tuple(place.vm_id for place in fleets.ENTRIES)
@@ -26,11 +29,12 @@
 class ProcessBacking:
     """Own a fleet, its callers and what was seen of them.
 
-    Use it as a context manager; ``run`` takes one step. The seed of a
-    scenario has no part in it: the kernel orders the processes' messages.
+    Use it as a context manager; ``run`` takes one step. The seed draws
+    the random failures only: the kernel orders the processes' messages.
     """
 
     def __init__(self, *, seed):
+        self._random = random.Random(seed)
         self._fleet = fleets.Fleet()
         self._callers = traffic.Callers(
             find_addresses=self._find_entry_addresses
@@ -111,6 +115,18 @@
         else:
             self._fleet.start_target(step.place)
 
+    @run.register
+    def _(self, step: steps.FailAtRandom):
+        end_s = time.monotonic() + step.seconds
+        while time.monotonic() < end_s:
+            pairs = disorder.draw_pair(self._random, line=step.line)
+            self._count_failures(pairs)
+            for failure, _ in pairs:
+                self.run(failure)
+            time.sleep(self._random.uniform(*FAILURE_S))
+            for _, mending in pairs:
+                self.run(mending)
+
     @run.register
     def _(self, step: steps.Drain):
         self._placed_s_by_place[step.place] = time.monotonic()
@@ -242,6 +258,10 @@
         if '0' not in (last.get('unfinished'), last.get('in_flight')):
             _expect(step, [f'{step.place} left calls unfinished: {last}'])
 
+    def _count_failures(self, pairs):
+        count = self.figures.get('failures', 0)
+        self.figures['failures'] = count + len(pairs)
+
     def _publish(self):
         self._revision = self._fleet.publish('base', self._base.render())
         self._changed_s = time.monotonic()
--- a/packages/savoryyoke-fakes/savoryyoke_fakes/scenarios/runner.py
+++ b/packages/savoryyoke-fakes/savoryyoke_fakes/scenarios/runner.py
@@ -4,11 +4,16 @@
 import inspect
 import pathlib
 
+from savoryyoke.calls.testing import oracle as oracles
+from savoryyoke_fakes.scenarios import clock_calls
+from savoryyoke_fakes.scenarios import clock_load
 from savoryyoke_fakes.scenarios import exceptions
 from savoryyoke_fakes.scenarios import parsing
 from savoryyoke_fakes.scenarios import process_backing
 
 BACKINGS_BY_NAME = {
+    'clock-calls': clock_calls.ClockCallsBacking,
+    'clock-load': clock_load.ClockLoadBacking,
     'processes': process_backing.ProcessBacking,
 }
 
@@ -70,6 +75,8 @@
                 backing.run(step)
         except exceptions.PromiseBroken as error:
             problem = str(error).replace('"', "'")
+        except oracles.FalseAnswer as error:
+            problem = f'line {step.line}: {error}'
     return Result(
         promise=scenario.promise,
         scenario=name,
--- a/packages/savoryyoke-fakes/savoryyoke_fakes/scenarios/steps.py
+++ b/packages/savoryyoke-fakes/savoryyoke_fakes/scenarios/steps.py
@@ -137,6 +137,13 @@
     seconds: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class FailAtRandom(Step):
+    """Let processes fail and return at random, drawn from the seed."""
+
+    seconds: float
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class WaitEnded(Step):
     """Wait until so many calls have ended since the start."""
