Answer callers from the directory of entries

Cause: the directory named all listed entries in one fixed order: not spread, not fresh after a failure, and an entry whose peers and targets had all gone silent still sent callers into a hole. Ruled out: counting every peer's own messages (at 350 entries each hears a given other one but every minute or so; membership knows who is alive). Change: both the list and membership feed the library's directory; it ranks by the caller's data centre and identity, says cut-off with alternatives, and times the end of a drain.

--- a/packages/savoryyoke-edge/savoryyoke_edge/problems.py
+++ b/packages/savoryyoke-edge/savoryyoke_edge/problems.py
@@ -170,6 +170,7 @@
     same_key_may_return: bool | None = None
     binding: str = ''
     outcome: str | None = None
+    alternatives: tuple[str, ...] = ()
 
     @property
     def kind(self):
@@ -194,6 +195,8 @@
             body['same_key_may_return'] = self.same_key_may_return
         if self.binding:
             body['binding'] = self.binding
+        if self.alternatives:
+            body['alternatives'] = list(self.alternatives)
         return json.dumps(body).encode()
 
     def build_headers(self):
--- a/packages/savoryyoke-entry/savoryyoke_entry/daemon.py
+++ b/packages/savoryyoke-entry/savoryyoke_entry/daemon.py
@@ -1,5 +1,6 @@
 """Tie the parts of the entry daemon together."""
 
+import functools
 import secrets
 import signal
 
@@ -18,6 +19,7 @@
 from savoryyoke_edge import servers
 from savoryyoke_entry import application
 from savoryyoke_entry import conf
+from savoryyoke_entry import directories
 from savoryyoke_entry import fleet
 from savoryyoke_entry import metrics
 from savoryyoke_entry import requests
@@ -51,6 +53,7 @@
         self.attempt_limits = calls_conf.AttemptLimits()
         self.carried = carried.CarriedAnswers(limits=self.attempt_limits)
         self.fleet = None
+        self._directory = None
         self.team_limiter = team_limits.TeamLimiter(
             entry_id=settings.vm_id,
             incarnation=self._incarnation,
@@ -116,35 +119,21 @@
 
     def build_directory(self, scope):
         """Return which entries a caller should use, and for how long."""
-        if not self.ready and not self._draining:
+        if self._table is None or self._plane.vm_list is None:
             return problems.Problem(
                 name='cut-off',
-                detail='this entry is not connected; ask another',
+                detail='this entry has just started; ask another',
                 retry_after_s=conf.RETRY_AFTER_S,
             )
-        team_name = requests.read_team_name(scope)
-        rows = [
-            vm
-            for vm in self._plane.vm_list.vms
-            if vm.role == 'entry'
-            and vm.state == 'live'
-            and self.team_limiter.may_serve(vm.vm_id, team=team_name)
-        ]
-        rows.sort(
-            key=lambda vm: (
-                vm.data_centre != self._settings.data_centre,
-                vm.vm_id,
-            )
+        team = requests.read_team_name(scope)
+        return self._directory.answer(
+            scope,
+            team=team,
+            may_serve=functools.partial(
+                self.team_limiter.may_serve, team=team
+            ),
+            bindings=self._build_bindings(),
         )
-        return {
-            'entries': [
-                {'address': vm.address, 'data_centre': vm.data_centre}
-                for vm in rows
-                if not (self._draining and vm.vm_id == self._settings.vm_id)
-            ],
-            'lifetime_s': self._settings.address_lifetime_s,
-            'bindings': self._build_bindings(),
-        }
 
     def _build_bindings(self):
         """Return a binding for each service with non-idempotent calls."""
@@ -175,6 +164,11 @@
                 tasks=tasks,
                 clock=self._clock,
             )
+            self._directory = directories.EntryDirectory(
+                settings=self._settings,
+                clock=self._clock,
+                fleet=self.fleet,
+            )
             self._plane = plane.ControlPlane(
                 settings=self._settings,
                 role=plane.ENTRY,
@@ -212,6 +206,7 @@
         self._announce(listener, admin_listener)
         tasks.start_soon(self._plane.run)
         tasks.start_soon(self.team_limiter.run, self._plane.ask)
+        tasks.start_soon(self._directory.run, self._plane.membership)
         tasks.start_soon(self._watch_pauses)
         tasks.start_soon(self._watch_signals)
         tasks.start_soon(_serve_http, admin_server, admin_listener)
@@ -247,6 +242,7 @@
         """Follow the platform's list of VMs."""
         self.team_limiter.take_vms(vm_list)
         self.fleet.apply_vms(vm_list)
+        self._directory.take_vms(vm_list)
 
     def on_member(self, decision):
         """Follow a change of a member."""
@@ -270,7 +266,9 @@
             for name, service in configuration.services_by_name.items()
             if _has_keyed_operations(service)
         )
-        self.fleet.apply_configuration(applied)
+        out = fleet.find_data_centres_out(applied.configuration)
+        self.fleet.apply_configuration(applied, out)
+        self._directory.take_data_centres(out)
 
     async def _watch_pauses(self):
         while True:
@@ -290,7 +288,7 @@
         self._draining = True
         self._plane.start_leaving()
         logs.write_event('drain_started', vm=self._settings.vm_id)
-        await anyio.sleep(self._settings.address_lifetime_s)
+        await anyio.sleep_until(self._directory.start_drain())
         with anyio.move_on_after(self._settings.drain_timeout_s):
             while self._application.in_flight:
                 await anyio.sleep(conf.DRAIN_POLL_S)
--- a/packages/savoryyoke-entry/savoryyoke_entry/fleet.py
+++ b/packages/savoryyoke-entry/savoryyoke_entry/fleet.py
@@ -106,6 +106,14 @@
         """Return how many targets should be connected."""
         return len(self._links_by_target_id)
 
+    def count_heard(self, silence_s):
+        """Return how many targets sent something in the last seconds."""
+        since_s = self._clock() - silence_s
+        return sum(
+            link.heard_at_s >= since_s
+            for link in self._links_by_target_id.values()
+        )
+
     def get_link(self, target_id):
         """Return the link to a target; raise ``LinkDown`` without one."""
         link = self._links_by_target_id.get(target_id)
@@ -131,16 +139,14 @@
                 return binding.format()
         return None
 
-    def apply_configuration(self, applied):
-        """Follow the configuration in force."""
+    def apply_configuration(self, applied, out):
+        """Follow the configuration in force.
+
+        ``out`` names the data centres that are taken out.
+        """
         configuration = applied.configuration
         for name, declared in configuration.services_by_name.items():
             self._ensure_service(name).configure(declared.retry)
-        out = frozenset(
-            name
-            for name, data_centre in configuration.data_centres_by_name.items()
-            if data_centre.state is configuration_schema.DataCentreState.OUT
-        )
         event = routing_events.ConfigurationApplied(
             revision=applied.base_revision + applied.overlay_revision,
             data_centres_out=out,
@@ -364,6 +370,15 @@
             )
 
 
+def find_data_centres_out(configuration):
+    """Return the names of the data centres that are taken out."""
+    return frozenset(
+        name
+        for name, data_centre in configuration.data_centres_by_name.items()
+        if data_centre.state is configuration_schema.DataCentreState.OUT
+    )
+
+
 async def _run_in_scope(link, scope):
     with scope:
         await link.run()
--- a/packages/savoryyoke-entry/savoryyoke_entry/links.py
+++ b/packages/savoryyoke-entry/savoryyoke_entry/links.py
@@ -59,6 +59,7 @@
         self._numbers = itertools.count(1)
         self._channels_by_call_id = {}
         self._up = anyio.Event()
+        self.heard_at_s = -math.inf
 
     async def wait_until_up(self, timeout_s):
         """Return once there is a connection; raise ``LinkDown`` if not."""
@@ -138,6 +139,7 @@
             self._channels_by_call_id.clear()
 
     def _take(self, message):
+        self.heard_at_s = anyio.current_time()
         call_id = getattr(message, 'call_id', None)
         if call_id is None:
             self._owner.on_message(self, message)
