Share what both daemons do and split the keyed relay

Cause: signals and the admin server stood twice, and keyed.py held both the attempt and the wording of its outcomes. Change: savoryyoke_edge.processes and keyed_outcomes; behaviour stays.

--- /dev/null
+++ b/packages/savoryyoke-edge/savoryyoke_edge/processes.py
@@ -0,0 +1,48 @@
+"""Run what every daemon has: its signals and its admin server."""
+
+import signal
+
+import anyio
+
+from savoryyoke_edge import admin
+from savoryyoke_edge import logs
+from savoryyoke_edge import servers
+
+ADMIN_HEADER_TIMEOUT_S = 5.0
+
+
+class AdminServer:
+    """Own the listener and the server of a daemon's admin address."""
+
+    def __init__(self, *, daemon, settings, registry):
+        self._listener = servers.bind(settings.admin_address)
+        self._server = servers.build_server(
+            admin.Admin(
+                daemon=daemon,
+                registry=registry,
+                token=settings.admin_token,
+            ),
+            header_timeout_s=ADMIN_HEADER_TIMEOUT_S,
+        )
+
+    @property
+    def address(self):
+        """Return the bound address as ``host:port``."""
+        host, port = self._listener.getsockname()
+        return f'{host}:{port}'
+
+    async def run(self):
+        """Serve until stopped."""
+        await self._server.serve(sockets=[self._listener])
+
+    def stop(self):
+        """Let ``run`` return soon."""
+        self._server.should_exit = True
+
+
+async def watch_signals(start_drain):
+    """Call ``start_drain()`` for each signal that asks to stop."""
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for received in signals:
+            logs.write_event('signal_received', signal=received.name)
+            start_drain()
--- a/packages/savoryyoke-entry/savoryyoke_entry/daemon.py
+++ b/packages/savoryyoke-entry/savoryyoke_entry/daemon.py
@@ -2,7 +2,6 @@
 
 import functools
 import secrets
-import signal
 
 import anyio
 import prometheus_client
@@ -11,11 +10,11 @@
 from savoryyoke.calls.attempts import pauses
 from savoryyoke.calls import conf as calls_conf
 from savoryyoke.configuration import routes
-from savoryyoke_edge import admin
 from savoryyoke_edge.control import plane
 from savoryyoke_edge import logs
 from savoryyoke_edge import platform
 from savoryyoke_edge import problems
+from savoryyoke_edge import processes
 from savoryyoke_edge import servers
 from savoryyoke_entry import application
 from savoryyoke_entry import conf
@@ -187,37 +186,30 @@
 
     async def _serve(self, tasks):
         listener = servers.bind(self._settings.listen_address)
-        admin_listener = servers.bind(self._settings.admin_address)
         server = servers.build_server(
             self._application,
             header_timeout_s=self._settings.header_timeout_s,
             idle_timeout_s=self._settings.idle_timeout_s,
             connection_limit=self._settings.connection_limit,
         )
-        admin_server = servers.build_server(
-            admin.Admin(
-                daemon=self,
-                registry=self._registry,
-                token=self._settings.admin_token,
-            ),
-            header_timeout_s=conf.ADMIN_HEADER_TIMEOUT_S,
+        admin_server = processes.AdminServer(
+            daemon=self, settings=self._settings, registry=self._registry
         )
         await self._plane.bind()
-        self._announce(listener, admin_listener)
+        self._announce(listener, admin_server)
         tasks.start_soon(self._plane.run)
         tasks.start_soon(self.team_limiter.run, self._plane.ask)
         tasks.start_soon(self._directory.run, self._plane.membership)
         tasks.start_soon(self._watch_pauses)
-        tasks.start_soon(self._watch_signals)
-        tasks.start_soon(_serve_http, admin_server, admin_listener)
+        tasks.start_soon(processes.watch_signals, self.start_drain)
+        tasks.start_soon(admin_server.run)
         tasks.start_soon(_serve_http, server, listener)
         await self._drain_requested.wait()
         await self._drain(server)
-        admin_server.should_exit = True
+        admin_server.stop()
 
-    def _announce(self, listener, admin_listener):
+    def _announce(self, listener, admin_server):
         host, port = listener.getsockname()
-        admin_host, admin_port = admin_listener.getsockname()
         advertised = self._settings.advertised_address
         self._address = str(advertised) if advertised else f'{host}:{port}'
         logs.write_event(
@@ -225,7 +217,7 @@
             vm=self._settings.vm_id,
             incarnation=f'{self._incarnation:016x}',
             address=f'{host}:{port}',
-            admin_address=f'{admin_host}:{admin_port}',
+            admin_address=admin_server.address,
             control_address=self._plane.address,
         )
 
@@ -275,14 +267,6 @@
             self.observe_pause()
             await anyio.sleep(conf.PAUSE_CHECK_S)
 
-    async def _watch_signals(self):
-        with anyio.open_signal_receiver(
-            signal.SIGTERM, signal.SIGINT
-        ) as signals:
-            async for received in signals:
-                logs.write_event('signal_received', signal=received.name)
-                self.start_drain()
-
     async def _drain(self, server):
         """Serve on while callers keep old answers, then finish and return."""
         self._draining = True
--- a/packages/savoryyoke-entry/savoryyoke_entry/keyed.py
+++ b/packages/savoryyoke-entry/savoryyoke_entry/keyed.py
@@ -17,6 +17,7 @@
 from savoryyoke_edge import problems
 from savoryyoke_entry import conf
 from savoryyoke_entry import exceptions
+from savoryyoke_entry import keyed_outcomes
 from savoryyoke_wire import messages
 
 
@@ -110,7 +111,7 @@
         if self._refusal is not None:
             if isinstance(self._outcome, outcomes.NotRun):
                 return await self._refuse(self._outcome)
-        return await send_outcome(self._outcome, self._caller)
+        return await keyed_outcomes.send_outcome(self._outcome, self._caller)
 
     def _build_first_event(self):
         """Return the event that makes the attempt offer or seal its key."""
@@ -252,11 +253,13 @@
                     case messages.Chunk():
                         parts.append(message.data)
                     case messages.End():
-                        answer = _build_answer(head, parts)
+                        answer = keyed_outcomes.build_answer(head, parts)
                         self._take_outcome(number, answer)
                         return
                     case messages.Refusal():
-                        self._take_outcome(number, read_refusal(message))
+                        self._take_outcome(
+                            number, keyed_outcomes.read_refusal(message)
+                        )
                         return
                     case messages.Redirect():
                         self._follow(number, message)
@@ -311,86 +314,3 @@
             attempt=message.attempt_id,
             number=message.number,
         )
-
-
-def _build_answer(head, parts):
-    headers = tuple((item.name, item.value) for item in head.headers)
-    return outcomes.Ran(
-        answer=outcomes.Answer(
-            status=head.status, headers=headers, body=b''.join(parts)
-        )
-    )
-
-
-def read_refusal(refusal):
-    """Return the outcome that a target's refusal states."""
-    match refusal.outcome:
-        case messages.Outcome.NOT_RUN:
-            return outcomes.NotRun(
-                reason=outcomes.NotRunReason(refusal.reason),
-                retry_after_s=refusal.retry_after_ms / 1000,
-                same_key_may_return=refusal.same_key_may_return,
-                holds_for_s=refusal.holds_for_ms / 1000,
-            )
-        case messages.Outcome.KEY_REUSED:
-            return outcomes.Rejected(
-                reason=outcomes.RejectionReason(refusal.reason)
-            )
-        case messages.Outcome.RAN_ANSWER_GONE:
-            return outcomes.RanWithoutAnswer(status=refusal.status)
-    return outcomes.MayHaveRun(
-        reason=outcomes.MayHaveRunReason(refusal.reason)
-    )
-
-
-@functools.singledispatch
-async def send_outcome(outcome, caller):
-    """Answer the caller with an attempt's outcome; return its name."""
-    raise exceptions.EntryError(f'unknown outcome {outcome}')
-
-
-@send_outcome.register
-async def _(outcome: outcomes.Ran, caller):
-    answer = outcome.answer
-    await caller.send_whole(answer.status, answer.headers, answer.body)
-    return 'ran'
-
-
-@send_outcome.register
-async def _(outcome: outcomes.RanWithoutAnswer, caller):
-    await caller.send_problem(
-        problems.Problem(name='answer-gone', reason=f'status-{outcome.status}')
-    )
-    return 'answer-gone'
-
-
-@send_outcome.register
-async def _(outcome: outcomes.NotRun, caller):
-    name = 'not-run'
-    if outcome.reason is outcomes.NotRunReason.WINDOW_CLOSED:
-        name = 'key-expired'
-    await caller.send_problem(
-        problems.Problem(
-            name=name,
-            reason=outcome.reason.value,
-            retry_after_s=max(outcome.retry_after_s, conf.RETRY_AFTER_S),
-            same_key_may_return=outcome.same_key_may_return,
-        )
-    )
-    return 'not-run'
-
-
-@send_outcome.register
-async def _(outcome: outcomes.MayHaveRun, caller):
-    await caller.send_problem(
-        problems.Problem(name='may-have-run', reason=outcome.reason.value)
-    )
-    return 'may-have-run'
-
-
-@send_outcome.register
-async def _(outcome: outcomes.Rejected, caller):
-    await caller.send_problem(
-        problems.Problem(name='key-reused', reason=outcome.reason.value)
-    )
-    return 'rejected'
--- a/packages/savoryyoke-target/savoryyoke_target/conf.py
+++ b/packages/savoryyoke-target/savoryyoke_target/conf.py
@@ -1,7 +1,6 @@
 """Defaults of the target process, in one place."""
 
 SERVER_ERROR_STATUS = 500
-ADMIN_HEADER_TIMEOUT_S = 5.0
 TICK_S = 0.1
 HEIR_CONNECT_TIMEOUT_S = 0.5
 HEIR_ANSWER_TIMEOUT_S = 2.0
--- a/packages/savoryyoke-target/savoryyoke_target/daemon.py
+++ b/packages/savoryyoke-target/savoryyoke_target/daemon.py
@@ -1,7 +1,6 @@
 """Tie the parts of the target process together."""
 
 import secrets
-import signal
 
 import anyio
 import anyio.abc
@@ -12,13 +11,12 @@
 from savoryyoke.admission import events as admission_events
 from savoryyoke.calls import conf as calls_conf
 from savoryyoke.calls.ledger import authority
-from savoryyoke_edge import admin
 from savoryyoke_edge import connections
 from savoryyoke_edge.control import plane
 from savoryyoke_edge import exceptions as edge_exceptions
 from savoryyoke_edge import logs
 from savoryyoke_edge import platform
-from savoryyoke_edge import servers
+from savoryyoke_edge import processes
 from savoryyoke_target import backends
 from savoryyoke_target import conf
 from savoryyoke_target import crashes
@@ -158,36 +156,29 @@
             local_host=self._settings.listen_address.host,
             local_port=self._settings.listen_address.port,
         )
-        admin_socket = servers.bind(self._settings.admin_address)
-        admin_server = servers.build_server(
-            admin.Admin(
-                daemon=self,
-                registry=self._registry,
-                token=self._settings.admin_token,
-            ),
-            header_timeout_s=conf.ADMIN_HEADER_TIMEOUT_S,
+        admin_server = processes.AdminServer(
+            daemon=self, settings=self._settings, registry=self._registry
         )
         await self._plane.bind()
-        self._announce(listener, admin_socket)
+        self._announce(listener, admin_server)
         tasks.start_soon(self._plane.run)
         tasks.start_soon(self._tick)
         tasks.start_soon(self._report_load)
-        tasks.start_soon(self._watch_signals)
+        tasks.start_soon(processes.watch_signals, self.start_drain)
         tasks.start_soon(self._accept, listener)
-        tasks.start_soon(_serve_admin, admin_server, admin_socket)
+        tasks.start_soon(admin_server.run)
         await self._drain_requested.wait()
         await self._drain(tasks)
-        admin_server.should_exit = True
+        admin_server.stop()
 
-    def _announce(self, listener, admin_socket):
+    def _announce(self, listener, admin_server):
         address = listener.extra(anyio.abc.SocketAttribute.local_address)
-        admin_address = admin_socket.getsockname()
         logs.write_event(
             'target_started',
             target=self._settings.target_id,
             incarnation=f'{self._incarnation:016x}',
             address=f'{address[0]}:{address[1]}',
-            admin_address=f'{admin_address[0]}:{admin_address[1]}',
+            admin_address=admin_server.address,
             control_address=self._plane.address,
             backend=self._settings.backend_url,
         )
@@ -306,14 +297,6 @@
             self._dispatcher.feed_admission(admission_events.Ticked())
             self._keyed_calls.tick()
 
-    async def _watch_signals(self):
-        with anyio.open_signal_receiver(
-            signal.SIGTERM, signal.SIGINT
-        ) as signals:
-            async for received in signals:
-                logs.write_event('signal_received', signal=received.name)
-                self.start_drain()
-
     async def _drain(self, tasks):
         """Take no new work, finish what runs, then return."""
         self._draining = True
@@ -371,7 +354,3 @@
     def _broadcast(self, message):
         for session in self._sessions_by_number.values():
             session.send(message)
-
-
-async def _serve_admin(server, listener):
-    await server.serve(sockets=[listener])
