--- a/packages/savoryyoke-fakes/savoryyoke_fakes/scenarios/parsing.py
+++ b/packages/savoryyoke-fakes/savoryyoke_fakes/scenarios/parsing.py
@@ -55,6 +55,7 @@
     'platform_state': (steps.PlatformState, ('state',)),
     'publish_team': (steps.PublishTeam, ('team',)),
     'publish_state': (steps.PublishState, ('data_centre', 'state')),
+    'publish_map': (steps.PublishMap, ('digest',)),
     'publish_invalid': (steps.PublishInvalid, ()),
     'fail_at_random': (steps.FailAtRandom, ('seconds',)),
     'wait_seconds': (steps.WaitSeconds, ('seconds',)),
--- a/packages/savoryyoke-fakes/savoryyoke_fakes/scenarios/runner.py
+++ b/packages/savoryyoke-fakes/savoryyoke_fakes/scenarios/runner.py
@@ -5,7 +5,9 @@
 import pathlib
 
 from savoryyoke.calls.testing import oracle as oracles
+from savoryyoke.groups import exceptions as group_exceptions
 from savoryyoke_fakes.scenarios import clock_calls
+from savoryyoke_fakes.scenarios import clock_group
 from savoryyoke_fakes.scenarios import clock_load
 from savoryyoke_fakes.scenarios import exceptions
 from savoryyoke_fakes.scenarios import parsing
@@ -13,11 +15,16 @@
 
 BACKINGS_BY_NAME = {
     'clock-calls': clock_calls.ClockCallsBacking,
+    'clock-group': clock_group.ClockGroupBacking,
     'clock-load': clock_load.ClockLoadBacking,
     'processes': process_backing.ProcessBacking,
 }
 
 
+# What the stand-ins raise where a promise breaks under their hands.
+_FALSE = (oracles.FalseAnswer, group_exceptions.BarrierViolated)
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Result:
     """Say whether a promise held in a scenario, and what was measured."""
@@ -75,7 +82,7 @@
                 backing.run(step)
         except exceptions.PromiseBroken as error:
             problem = str(error).replace('"', "'")
-        except oracles.FalseAnswer as error:
+        except _FALSE as error:
             problem = f'line {step.line}: {error}'
     return Result(
         promise=scenario.promise,
--- a/packages/savoryyoke-fakes/savoryyoke_fakes/scenarios/steps.py
+++ b/packages/savoryyoke-fakes/savoryyoke_fakes/scenarios/steps.py
@@ -126,6 +126,13 @@
     state: str
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class PublishMap(Step):
+    """Propose an expert map, named by a number."""
+
+    digest: int
+
+
 class PublishInvalid(Step):
     """Publish a base that must be refused."""
 
--- a/packages/savoryyoke-fakes/tests/scenarios/test_clocks.py
+++ b/packages/savoryyoke-fakes/tests/scenarios/test_clocks.py
@@ -8,6 +8,8 @@
 from savoryyoke.admission import warmup
 from savoryyoke.calls.ledger import rules
 from savoryyoke.calls.testing import world as worlds
+from savoryyoke.groups.switching import barrier
+from savoryyoke.groups.switching import engines
 from savoryyoke.routing import registry
 from savoryyoke_fakes.scenarios import runner
 
@@ -92,7 +94,20 @@
         )
         self.assertIn('dc-a got work', problem)
 
+    def test_group_that_switches_when_one_rank_offers(self):
+        problem = self.assert_turns_red(
+            'expert-maps', barrier, 'choose_switch', _switch_alone
+        )
+        self.assertIn('not whole in memory', problem)
+
+    def test_rank_that_misses_a_switch(self):
+        problem = self.assert_turns_red(
+            'expert-maps', engines.RankEngine, '_activate', _activate_but_one
+        )
+        self.assertIn('mixed steps', problem)
 
+
+_ACTIVATE = engines.RankEngine._activate
 _INIT = warmup.ConcurrencyLimit.__init__
 
 
@@ -101,3 +116,13 @@
         limits, initial_concurrency=limits.max_concurrency
     )
     _INIT(self, limits=cold, policy=policy)
+
+
+def _switch_alone(words):
+    offers = [word.offer for word in words if word.offer]
+    return offers[0] if offers else None
+
+
+def _activate_but_one(self, identity):
+    if self.state.rank != 3 or self.state.active is None:
+        _ACTIVATE(self, identity)
