Explore three ranks more deeply and shorten the model

Cause: schedules of three ranks were explored to five actions only, at little cost. Explore seven; state the model of the processes once for all fields.

--- a/packages/savoryyoke/tests/groups/switching/test_schedules.py
+++ b/packages/savoryyoke/tests/groups/switching/test_schedules.py
@@ -129,7 +129,7 @@
 
     def test_three_ranks_around_the_switch(self):
         start = _start_offering(ranks=3, faults=1, proposals=((0, 2),))
-        _explore(worlds.Simulator(), start, depth=5)
+        _explore(worlds.Simulator(), start, depth=7)
 
     def test_two_drivers_with_the_same_order(self):
         start = worlds.make_world(
--- a/packages/savoryyoke/tests/groups/switching/world.py
+++ b/packages/savoryyoke/tests/groups/switching/world.py
@@ -161,7 +161,7 @@
         words = [
             word
             for word, active in world.begun
-            if (word.generation, word.step) == (state.generation, state.step)
+            if _find_step(word) == _find_step(state)
         ]
         return words if len(words) == len(world.engines) else None
 
@@ -169,8 +169,7 @@
         """Return the world after ``action``; raise Violation if broken."""
         turn = _Turn(world, self._agent_class)
         name, *arguments = action
-        free = _FREE_ACTIONS
-        if name not in free:
+        if name not in _FREE_ACTIONS:
             turn.faults -= 1
         if name == 'complete':
             self._complete(turn, world, *arguments)
@@ -191,17 +190,8 @@
 
 
 _FREE_ACTIONS = frozenset(
-    (
-        'deliver',
-        'order',
-        'observe',
-        'loaded',
-        'contribute',
-        'complete',
-        'fail',
-        'form',
-        'propose',
-    )
+    'deliver order observe loaded contribute complete fail form '
+    'propose'.split()
 )
 
 
@@ -209,59 +199,47 @@
     """Carry out one action on a copy of a world."""
 
     def __init__(self, world, agent_class):
-        self._world = world
         self._agent_class = agent_class
-        self._engines = list(world.engines)
-        self._agents = list(world.agents)
-        self._drivers = list(world.drivers)
-        self._orders = list(world.orders)
-        self._observations = list(world.observations)
-        self._messages = set(world.messages)
-        self._begun = set(world.begun)
-        self._proposals = list(world.proposals)
-        self._ends = list(world.ends)
-        self.faults = world.faults
+        self._names = [each.name for each in dataclasses.fields(world)]
+        for name in self._names:
+            value = getattr(world, name)
+            thawed = {tuple: list, frozenset: set}.get(type(value), int)
+            setattr(self, name, thawed(value))
 
     def freeze(self):
         self._shift_steps()
-        steps = {(state.generation, state.step) for state in self._engines}
-        begun = frozenset(
+        steps = set(map(_find_step, self.engines))
+        self.begun = {
             (word, active)
-            for word, active in self._begun
-            if (word.generation, word.step) in steps
-        )
-        return World(
-            engines=tuple(self._engines),
-            agents=tuple(self._agents),
-            drivers=tuple(self._drivers),
-            orders=tuple(self._orders),
-            observations=tuple(self._observations),
-            messages=frozenset(self._messages),
-            begun=begun,
-            proposals=tuple(self._proposals),
-            faults=self.faults,
-            ends=tuple(self._ends),
-        )
+            for word, active in self.begun
+            if _find_step(word) in steps
+        }
+        fields = {}
+        for name in self._names:
+            value = getattr(self, name)
+            frozen = {list: tuple, set: frozenset}.get(type(value), int)
+            fields[name] = frozen(value)
+        return World(**fields)
 
     def _shift_steps(self):
         """Count steps from the slowest rank's, so that worlds repeat."""
-        shift = min(state.step for state in self._engines) - 1
+        shift = min(state.step for state in self.engines) - 1
         if shift < 1:
             return
-        self._engines = [
+        self.engines = [
             dataclasses.replace(
                 state,
                 step=state.step - shift,
                 word=state.word and _shift(state.word, shift),
             )
-            for state in self._engines
+            for state in self.engines
         ]
-        self._begun = {
-            (_shift(word, shift), active) for word, active in self._begun
+        self.begun = {
+            (_shift(word, shift), active) for word, active in self.begun
         }
 
     def deliver(self, message):
-        self._messages.discard(message)
+        self.messages.discard(message)
         self.duplicate(message)
 
     def duplicate(self, message):
@@ -272,46 +250,43 @@
             self._tell_driver(index, event)
 
     def order(self, rank):
-        order, *rest = self._orders[rank]
-        self._orders[rank] = tuple(rest)
-        engine = engines.RankEngine(state=self._engines[rank])
+        order, *rest = self.orders[rank]
+        self.orders[rank] = tuple(rest)
+        engine = engines.RankEngine(state=self.engines[rank])
         self.keep_engine(rank, engine, _carry_out(order, engine))
 
     def observe(self, rank):
-        event, *rest = self._observations[rank]
-        self._observations[rank] = tuple(rest)
+        event, *rest = self.observations[rank]
+        self.observations[rank] = tuple(rest)
         self._tell_agent(rank, event)
 
-    def loaded(self, rank):
-        engine = engines.RankEngine(state=self._engines[rank])
-        self.keep_engine(rank, engine, engine.end_load(succeeded=True))
+    def loaded(self, rank, succeeded=True):
+        engine = engines.RankEngine(state=self.engines[rank])
+        self.keep_engine(rank, engine, engine.end_load(succeeded=succeeded))
 
-    def load_fails(self, rank):
-        engine = engines.RankEngine(state=self._engines[rank])
-        self.keep_engine(rank, engine, engine.end_load(succeeded=False))
+    load_fails = functools.partialmethod(loaded, succeeded=False)
 
     def contribute(self, rank):
-        engine = engines.RankEngine(state=self._engines[rank])
+        engine = engines.RankEngine(state=self.engines[rank])
         word = engine.contribute()
         active = engine.state.active
-        for other, other_active in self._begun:
-            same = (other.generation, other.step) == (
-                word.generation,
-                word.step,
-            )
-            if same and other_active != active:
+        for other, other_active in self.begun:
+            if (
+                _find_step(other) == _find_step(word)
+                and other_active != active
+            ):
                 raise Violation('two maps in one step')
-        self._begun.add((word, active))
+        self.begun.add((word, active))
         self.keep_engine(rank, engine, ())
 
     def fail(self, rank):
-        engine = engines.RankEngine(state=self._engines[rank])
+        engine = engines.RankEngine(state=self.engines[rank])
         self.keep_engine(rank, engine, engine.fail())
 
     partition = fail
 
     def form(self):
-        members = [engines.RankEngine(state=state) for state in self._engines]
+        members = [engines.RankEngine(state=state) for state in self.engines]
         words = [
             member.say_formation_word(nonce=self.faults) for member in members
         ]
@@ -323,89 +298,81 @@
             self.keep_engine(rank, member, member.enter(formation))
         if formation.missing_ranks:
             return
-        for number in range(len(self._drivers)):
+        for number in range(len(self.drivers)):
             event = events.GroupFormed(
                 generation=formation.generation, ranks=len(members)
             )
             self._tell_driver(number, event)
 
     def propose(self, number, digest):
-        self._proposals.remove((number, digest))
+        self.proposals.remove((number, digest))
         self._tell_driver(number, events.MapProposed(digest=digest))
 
     def give_up(self, number):
         self._tell_driver(number, events.TimePassed(), now_s=LATE_S)
 
     def resend(self, number):
-        due_s = self._drivers[number].resend_at_s
+        due_s = self.drivers[number].resend_at_s
         self._tell_driver(number, events.TimePassed(), now_s=due_s)
 
     def engine_dies(self, rank):
         state = engines.EngineState(rank=rank)
         engine = engines.RankEngine(state=state)
-        self._orders[rank] = ()
-        self._observations[rank] = (events.EngineRestarted(),)
+        self.orders[rank] = ()
+        self.observations[rank] = (events.EngineRestarted(),)
         self.keep_engine(rank, engine, (engine.observe(),))
 
     def agent_dies(self, rank):
-        self._agents[rank] = agents.AgentState()
-        engine = engines.RankEngine(state=self._engines[rank])
-        self._observations[rank] = (engine.observe(),)
+        self.agents[rank] = agents.AgentState()
+        engine = engines.RankEngine(state=self.engines[rank])
+        self.observations[rank] = (engine.observe(),)
 
     def offer_times_out(self, rank):
         self._tell_agent(rank, events.TimePassed(), now_s=LATE_S)
 
     def keep_engine(self, rank, engine, observed):
-        self._engines[rank] = engine.state
-        self._observations[rank] += observed
+        self.engines[rank] = engine.state
+        self.observations[rank] += observed
 
     def _tell_agent(self, rank, event, now_s=0.0):
-        agent = self._agent_class(state=self._agents[rank])
+        agent = self._agent_class(state=self.agents[rank])
         for decision in agent.apply(event, now_s=now_s):
             if isinstance(decision, decisions.AnswerDriver):
                 self._send_answer(rank, decision)
             else:
-                self._orders[rank] += (decision,)
-        self._agents[rank] = agent.state
+                self.orders[rank] += (decision,)
+        self.agents[rank] = agent.state
 
     def _send_answer(self, rank, decision):
         answer = events.AgentAnswered(rank=rank, **vars(decision))
-        for number, state in enumerate(self._drivers):
+        for number, state in enumerate(self.drivers):
             if state.nonce == decision.driver_nonce:
-                self._messages.add(('driver', number, answer))
+                self.messages.add(('driver', number, answer))
 
     def _tell_driver(self, number, event, now_s=0.0):
-        driver = drivers.GroupDriver(state=self._drivers[number])
+        driver = drivers.GroupDriver(state=self.drivers[number])
         for decision in driver.apply(event, now_s=now_s):
             if isinstance(decision, decisions.ChangeEnded):
-                self._ends.append((decision.reason, decision.switched))
+                self.ends.append((decision.reason, decision.switched))
             else:
                 request = _make_request(decision)
-                self._messages.add(('agent', decision.rank, request))
-        self._drivers[number] = driver.state
+                self.messages.add(('agent', decision.rank, request))
+        self.drivers[number] = driver.state
+
+
+def _find_step(part):
+    return (part.generation, part.step)
 
 
 def _shift(word, shift):
     return dataclasses.replace(word, step=word.step - shift)
 
 
-@functools.singledispatch
 def _carry_out(order, engine):
-    raise TypeError(order)
-
-
-@_carry_out.register
-def _(order: decisions.LoadMap, engine):
-    return engine.load(order.identity, generation=order.generation)
-
-
-@_carry_out.register
-def _(order: decisions.OfferMap, engine):
-    return engine.offer(order.identity)
-
-
-@_carry_out.register
-def _(order: decisions.WithdrawMap, engine):
+    if isinstance(order, decisions.LoadMap):
+        return engine.load(order.identity, generation=order.generation)
+    if isinstance(order, decisions.OfferMap):
+        return engine.offer(order.identity)
     return engine.withdraw(order.identity)
 
 
