Wait for room once an answer has begun, and split building of calls

Cause: an engine that crashed is now known to be cold, with quotas that may be zero for one entry for a second. A call whose engine died half way then found no target and its answer was broken off, though other engines lived.

Change: a request whose answer has begun asks again until its deadline where room may come; before, it is refused at once as ever.

--- a/packages/savoryyoke-entry/savoryyoke_entry/relays.py
+++ b/packages/savoryyoke-entry/savoryyoke_entry/relays.py
@@ -1,7 +1,6 @@
 """Get the whole answer to an idempotent request from the targets."""
 
 import functools
-import json
 
 import anyio
 
@@ -14,14 +13,15 @@
 from savoryyoke.streams import assembly
 from savoryyoke.streams import decisions as stream_decisions
 from savoryyoke.streams import events as stream_events
-from savoryyoke_edge import crash_reports
 from savoryyoke_edge import logs
 from savoryyoke_edge import problems
 from savoryyoke_entry import callers
 from savoryyoke_entry import conf
 from savoryyoke_entry import exceptions
 from savoryyoke_entry import observations
+from savoryyoke_entry import offers
 from savoryyoke_entry import suspects
+from savoryyoke_entry import turns
 from savoryyoke_wire import conf as wire_conf
 from savoryyoke_wire import messages
 
@@ -89,6 +89,9 @@
                 return await self._refuse_for_good()
             choice = await self._choose(verdict)
             if isinstance(choice, routing_decisions.NoTarget):
+                if self._may_wait(choice):
+                    await anyio.sleep(conf.ISOLATION_PAUSE_S)
+                    continue
                 return await self._refuse(choice)
             await self._try_target(choice)
             if await self._wait_for_suspect():
@@ -100,6 +103,18 @@
             self._suspects.note_success(self._fingerprint)
         return 'answered'
 
+    def _may_wait(self, refusal):
+        """Tell whether to ask again for want of room.
+
+        An answer that has begun cannot be refused, only broken off.
+        """
+        remaining_s = self._request.deadline_s - self._clock()
+        return (
+            self._caller.started
+            and turns.may_find_room(refusal)
+            and remaining_s > conf.ISOLATION_RESERVE_S
+        )
+
     def _is_quarantined(self, verdict):
         return self._quarantined or isinstance(
             verdict, quarantine_decisions.RefuseForGood
@@ -434,44 +449,12 @@
         return 'given-up'
 
     def _build_call(self, channel):
-        request = self._request
-        remaining_s = request.deadline_s - self._clock()
-        return messages.Call(
+        return offers.build_call(
+            self._request,
             call_id=channel.call_id,
-            service=request.route.service_name,
-            operation=request.route.operation_name,
-            team=request.team_name,
-            team_weight=request.team_weight,
-            priority=request.priority,
-            remaining_ms=max(1, int(remaining_s * 1000)),
-            idempotent=True,
-            method=request.method,
-            path=request.path,
-            headers=request.headers,
-            body=request.body,
-            streamed=request.streamed,
-            resume_index=self._resume_index,
-            resume_text=self._read_delivered_text(),
-            cost=request.cost,
-            credit_bytes=conf.CREDIT_BYTES,
             fingerprint=self._fingerprint,
-            crash_reports=crash_reports.pack(self._crash_reports),
+            reports=self._crash_reports,
+            resume_index=self._resume_index,
+            delivered=self._assembly.delivered,
+            now_s=self._clock(),
         )
-
-    def _read_delivered_text(self):
-        """Return the text that the caller already has, for the next engine."""
-        if not self._resume_index:
-            return ''
-        events = self._assembly.delivered.split(b'\n\n')
-        return ''.join(_read_text(event) for event in events if event)
-
-
-def _read_text(event):
-    """Return the text of one server-sent event of a completion."""
-    try:
-        choice = json.loads(event.removeprefix(b'data: '))['choices'][0]
-        if 'text' in choice:
-            return str(choice['text'])
-        return str(choice['delta'].get('content') or '')
-    except (KeyError, IndexError, TypeError, ValueError):
-        return ''
--- a/packages/savoryyoke-entry/savoryyoke_entry/turns.py
+++ b/packages/savoryyoke-entry/savoryyoke_entry/turns.py
@@ -64,3 +64,8 @@
     shares = conf.WAIT_SHARES
     share = shares[max(0, min(priority, len(shares) - 1))]
     return share * conf.FIRST_TOKEN_TARGET_S
+
+
+def may_find_room(refusal):
+    """Tell whether a refused request may find room a moment later."""
+    return refusal.reason in _WAITABLE
