Read faster in the slow reader's test

Cause: 40 s of the suite went to a receive buffer of 4 KB, in which every window waits for a delayed acknowledgement. Change: 64 KB; the 1.5 MB answer still exceeds all buffers on its way (a flow-control window of 256 KB and those of the kernel), and the caller still reads nothing while the others are served.

--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -127,7 +127,7 @@
             f'content-length: {len(body)}\r\n\r\n{body}'
         )
         with socket.create_connection((host, int(port))) as slow:
-            slow.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            slow.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
             slow.sendall(request.encode())
             slow.settimeout(support.WAIT_S)
             received = slow.recv(100)
