--- a/packages/savoryyoke/savoryyoke/groups/planning/candidates.py
+++ b/packages/savoryyoke/savoryyoke/groups/planning/candidates.py
@@ -27,21 +27,28 @@
     if not times.any():
         return ()
     slowest = int(times.argmax())
+    holds = _find_holds(experts, len(loads))
     best = _measure(times[None])[0] * (1 - 1e-9)
     chosen = ()
-    for list_changes in (_list_replacements, _list_exchanges):
-        changes, new_times = list_changes(
-            experts, loads, speeds, times, slowest
-        )
-        if not changes:
+    for kind in (_Replacements, _Exchanges):
+        found = kind(experts=experts, holds=holds, slowest=slowest)
+        if not len(found.places):
             continue
-        norms = _measure(new_times)
+        norms = _measure(found.find_times(loads, speeds, times))
         place = int(norms.argmin())
         if norms[place] < best:
-            best, chosen = norms[place], changes[place]
+            best, chosen = norms[place], found.choose(place)
     return chosen
 
 
+def _find_holds(experts, experts_count):
+    """Return how often each rank holds each expert, by expert and rank."""
+    holds = numpy.zeros((experts_count, len(experts)))
+    for slot in experts.T:
+        numpy.add.at(holds, (slot, numpy.arange(len(experts))), 1)
+    return holds
+
+
 def _measure(times):
     """Return a norm of each row that lies close above its maximum."""
     scale = times.max()
@@ -49,77 +56,76 @@
     return scale * powers.sum(axis=1) ** (1 / conf.NORM_EXPONENT)
 
 
-def _list_replacements(experts, loads, speeds, times, slowest):
-    """Replace a slot whose expert has another replica by another expert."""
-    counts = maps.count_replicas(experts, len(loads))
-    holds = numpy.zeros((len(loads), len(experts)))
-    ranks = numpy.arange(len(experts))
-    for slot in experts.T:
-        numpy.add.at(holds, (slot, ranks), 1)
-    spare = [
-        (rank, slot)
-        for rank, slot in numpy.argwhere(counts[experts] > 1).tolist()
-    ]
-    pairs = [
-        (rank, slot, expert)
-        for rank, slot in spare
-        for expert in _list_newcomers(experts, loads, rank, slowest)
-        if not holds[expert, rank]
-    ]
-    if not pairs:
-        return [], None
-    rank, slot, added = numpy.array(pairs).T
-    removed = experts[rank, slot]
-    rows = numpy.arange(len(pairs))
-    share_after_adding = loads[added] / (counts[added] + 1)
-    share_after_removing = loads[removed] / (counts[removed] - 1)
-    change = (
-        holds[added]
-        * (share_after_adding - loads[added] / counts[added])[:, None]
-    )
-    change += (
-        holds[removed]
-        * (share_after_removing - loads[removed] / counts[removed])[:, None]
-    )
-    change[rows, rank] += share_after_adding - share_after_removing
-    changes = [
-        (Replacement(rank=each[0], slot=each[1], expert=each[2]),)
-        for each in pairs
-    ]
-    return changes, times + change / speeds
-
-
-def _list_newcomers(experts, loads, rank, slowest):
-    if rank == slowest:
-        return range(len(loads))
-    return set(experts[slowest].tolist())
-
-
-def _list_exchanges(experts, loads, speeds, times, slowest):
-    """Exchange a slot of the slowest rank for a slot of another rank."""
-    shares = loads / maps.count_replicas(experts, len(loads))
-    rows_by_rank = [set(row) for row in experts.tolist()]
-    own = experts[slowest].tolist()
-    pairs = [
-        (own_slot, rank, slot)
-        for own_slot, given in enumerate(own)
-        for rank, row in enumerate(experts.tolist())
-        if rank != slowest and given not in rows_by_rank[rank]
-        for slot, taken in enumerate(row)
-        if taken not in rows_by_rank[slowest]
-    ]
-    if not pairs:
-        return [], None
-    own_slot, rank, slot = numpy.array(pairs).T
-    gain = shares[experts[slowest, own_slot]] - shares[experts[rank, slot]]
-    new_times = numpy.repeat(times[None], len(pairs), axis=0)
-    new_times[:, slowest] -= gain / speeds[slowest]
-    new_times[numpy.arange(len(pairs)), rank] += gain / speeds[rank]
-    changes = [
-        (
-            Replacement(rank=slowest, slot=each[0], expert=taken),
-            Replacement(rank=each[1], slot=each[2], expert=own[each[0]]),
+class _Replacements:
+    """Replace a slot whose expert has another replica by another expert.
+
+    ``places`` holds (rank, slot, new expert) in each row. Arrays rather than
+    objects for each candidate keep the garbage collector out of a slice.
+    """
+
+    def __init__(self, *, experts, holds, slowest):
+        self._experts = experts
+        self._holds = holds
+        self._counts = holds.sum(axis=1)
+        spare = self._counts[experts] > 1
+        newcomers = numpy.repeat(holds[None, :, slowest] > 0, len(experts), 0)
+        newcomers[slowest] = True
+        newcomers &= holds.T == 0
+        self.places = numpy.argwhere(spare[:, :, None] & newcomers[:, None])
+
+    def find_times(self, loads, speeds, times):
+        """Return the ranks' times after each candidate, a row for each."""
+        rank, slot, added = self.places.T
+        removed = self._experts[rank, slot]
+        shares = loads / self._counts
+        share_added = loads[added] / (self._counts[added] + 1)
+        share_removed = loads[removed] / (self._counts[removed] - 1)
+        change = (
+            self._holds[added] * (share_added - shares[added])[:, None]
+            + self._holds[removed] * (share_removed - shares[removed])[:, None]
+        )
+        rows = numpy.arange(len(self.places))
+        change[rows, rank] += share_added - share_removed
+        return times + change / speeds
+
+    def choose(self, place):
+        """Return the Replacements of the candidate at ``place``."""
+        rank, slot, added = self.places[place].tolist()
+        return (Replacement(rank=rank, slot=slot, expert=added),)
+
+
+class _Exchanges:
+    """Exchange a slot of the slowest rank for a slot of another rank.
+
+    ``places`` holds (own slot, other rank, its slot) in each row.
+    """
+
+    def __init__(self, *, experts, holds, slowest):
+        self._experts = experts
+        self._counts = holds.sum(axis=1)
+        self._slowest = slowest
+        given_fits = holds[experts[slowest]] == 0
+        given_fits[:, slowest] = False
+        taken_fits = holds[experts, slowest] == 0
+        self.places = numpy.argwhere(given_fits[:, :, None] & taken_fits[None])
+
+    def find_times(self, loads, speeds, times):
+        """Return the ranks' times after each candidate, a row for each."""
+        own_slot, rank, slot = self.places.T
+        shares = loads / self._counts
+        given = self._experts[self._slowest, own_slot]
+        gain = shares[given] - shares[self._experts[rank, slot]]
+        found = numpy.repeat(times[None], len(self.places), axis=0)
+        found[:, self._slowest] -= gain / speeds[self._slowest]
+        found[numpy.arange(len(self.places)), rank] += gain / speeds[rank]
+        return found
+
+    def choose(self, place):
+        """Return the Replacements of the candidate at ``place``."""
+        own_slot, rank, slot = self.places[place].tolist()
+        given = int(self._experts[self._slowest, own_slot])
+        taken = int(self._experts[rank, slot])
+        return (
+            Replacement(rank=self._slowest, slot=own_slot, expert=taken),
+            Replacement(rank=rank, slot=slot, expert=given),
         )
-        for each, taken in zip(pairs, experts[rank, slot].tolist())
-    ]
-    return changes, new_times
