--- a/packages/savoryyoke-edge/savoryyoke_edge/servers.py
+++ b/packages/savoryyoke-edge/savoryyoke_edge/servers.py
@@ -71,6 +71,8 @@
     )
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     listener.bind((address.host, address.port))
+    # Whoever reads the address in the log may connect at once.
+    listener.listen(BACKLOG)
     listener.setblocking(False)
     return listener
 
