Turn three more checks of scenarios red

Leaving targets, refused files and calls served at the first try were not seen red with processes. A target listed as live again, a valid file and a killed entry each break their line now: 8 tests of tests.scenarios.test_processes passed in 63 s.

--- a/packages/savoryyoke-fakes/tests/scenarios/test_processes.py
+++ b/packages/savoryyoke-fakes/tests/scenarios/test_processes.py
@@ -76,3 +76,33 @@
             'expect configuration in force within 2 s\n',
             'has 3.2, not 4',
         )
+
+    def test_target_that_is_listed_as_live_again(self):
+        self.assert_broken(
+            'leaving-target',
+            'start completions by letters at 40 per second\n'
+            'wait until 20 calls ended\n'
+            'list engine-a leaving\n'
+            'list engine-a live\n'
+            'expect no new work at engine-a after 1 s\n',
+            'engine-a got work after',
+        )
+
+    def test_file_that_is_valid(self):
+        self.assert_broken(
+            'config-in-force',
+            'publish team crews\nexpect file refused within 2 s\n',
+            'not reached in 2.0 s',
+        )
+
+    def test_entry_that_is_killed_under_load(self):
+        self.assert_broken(
+            'graceful-stop',
+            'start lookups by members at 60 per second\n'
+            'wait until 20 calls ended\n'
+            'kill entry-b\n'
+            'wait 1 s\n'
+            'stop traffic\n'
+            'expect every call served\n',
+            'unanswered ConnectError',
+        )
