--- a/packages/savoryyoke-fakes/savoryyoke_fakes/fleets.py
+++ b/packages/savoryyoke-fakes/savoryyoke_fakes/fleets.py
@@ -63,11 +63,20 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class TargetPlace:
-    """Name a target VM and what stands on it."""
+    """Name a target VM and what stands on it.
+
+    ``backend_of`` names another target whose stand-in this one shares.
+    """
 
     vm_id: str
     data_centre: str
     service: str
+    backend_of: str | None = None
+
+    @property
+    def backend_name(self):
+        """Return the name of the stand-in behind this target."""
+        return f'{self.backend_of or self.vm_id}.backend'
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -157,13 +166,17 @@
     def _start_all(self):
         self._report('starting the stand-ins of platform and back ends')
         self._launch_stand_in('platform', 'platform')
-        for vm_id in self._targets_by_id:
-            self._launch_backend(vm_id)
+        backends = {
+            place.backend_name: place for place in self._targets_by_id.values()
+        }
+        for place in backends.values():
+            self._launch_backend(place.vm_id)
         self._await_stand_in('platform')
         self.publish('base', self._base_text)
         self.publish('overlay/demo', '')
+        for name in backends:
+            self._await_stand_in(name)
         for vm_id, place in self._targets_by_id.items():
-            self._await_stand_in(f'{vm_id}.backend')
             self._report(f'starting target {vm_id} ({place.service})')
             self._launch_target(vm_id)
         for vm_id in self._entries_by_id:
@@ -194,7 +207,7 @@
     def _launch_backend(self, vm_id):
         place = self._targets_by_id[vm_id]
         module = 'engine' if place.service == LANGUAGE else 'application'
-        self._launch_stand_in(f'{vm_id}.backend', module)
+        self._launch_stand_in(place.backend_name, module)
 
     def _launch_stand_in(self, name, module):
         """Start a stand-in; a restarted one keeps its address."""
@@ -212,7 +225,7 @@
     def _launch_target(self, vm_id):
         place = self._targets_by_id[vm_id]
         kind = 'engine' if place.service == LANGUAGE else 'application'
-        backend = self.addresses_by_name[f'{vm_id}.backend']
+        backend = self.addresses_by_name[place.backend_name]
         self._start(
             vm_id,
             'savoryyoke_target',
@@ -258,7 +271,7 @@
         if self._profile_directory is None or not is_daemon:
             return []
         path = pathlib.Path(self._profile_directory, f'{name}.profile')
-        return ['-m', 'cProfile', '-o', str(path)]
+        return ['-m', 'savoryyoke_fakes.profiles', str(path)]
 
     def _start(self, name, module, *flags):
         process = processes.Process(
@@ -344,7 +357,7 @@
 
     def _is_whole(self, vm_id):
         """Tell whether a target VM's processes run."""
-        names = (vm_id, f'{vm_id}.backend')
+        names = (vm_id, self._targets_by_id[vm_id].backend_name)
         return all(self.processes_by_name[name].running for name in names)
 
     def _wait_for_backend(self, vm_id):
