--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 	savoryyoke-target savoryyoke-fakes
 SOURCES := packages tests tools
 
-.PHONY: all setup demo prove test lint format clean
+.PHONY: all setup demo measure prove test lint format clean
 
 all: lint test
 
@@ -21,6 +21,9 @@
 demo: setup
 	$(BIN)/python tools/demo.py
 
+measure: setup
+	$(BIN)/python -m tools.measure
+
 prove: setup
 	$(BIN)/python tools/prove.py
 
