Refuse new calls at targets whose data centre is out

Ruled out: holding requests back after every pause (each would wait for news that mostly does not come). Change: the target, which knows its own data centre's state, refuses new calls as not run, and the entry tries elsewhere without cost to the retry budget. Bound keys are still served: no other process may run them.

--- a/packages/savoryyoke-entry/savoryyoke_entry/relays.py
+++ b/packages/savoryyoke-entry/savoryyoke_entry/relays.py
@@ -27,6 +27,7 @@
 
 _FAILURES_BY_REASON = {
     'draining': retry_events.Failure.DRAINING,
+    wire_conf.DATA_CENTRE_OUT_REASON: retry_events.Failure.DRAINING,
     'backend_stopped': retry_events.Failure.UNREACHABLE,
 }
 _ISOLATING_REASONS = frozenset(
--- a/packages/savoryyoke-target/savoryyoke_target/daemon.py
+++ b/packages/savoryyoke-target/savoryyoke_target/daemon.py
@@ -11,6 +11,7 @@
 from savoryyoke.admission import events as admission_events
 from savoryyoke.calls import conf as calls_conf
 from savoryyoke.calls.ledger import authority
+from savoryyoke.configuration import schema as configuration_schema
 from savoryyoke_edge import connections
 from savoryyoke_edge.control import plane
 from savoryyoke_edge import exceptions as edge_exceptions
@@ -194,6 +195,13 @@
 
     def on_applied(self, applied):
         """Follow the configuration in force."""
+        declared = applied.configuration.data_centres_by_name.get(
+            self._settings.data_centre
+        )
+        self._dispatcher.set_data_centre_out(
+            declared is not None
+            and declared.state is configuration_schema.DataCentreState.OUT
+        )
         services = applied.configuration.services_by_name
         service = services.get(self._settings.service)
         if service is None:
--- a/packages/savoryyoke-target/savoryyoke_target/dispatcher.py
+++ b/packages/savoryyoke-target/savoryyoke_target/dispatcher.py
@@ -14,6 +14,7 @@
 from savoryyoke_target import exceptions
 from savoryyoke_target import relays
 from savoryyoke_target import sessions
+from savoryyoke_wire import conf as wire_conf
 from savoryyoke_wire import messages
 
 
@@ -46,6 +47,7 @@
         self._clock = clock
         self._live_by_id = {}
         self._running_ids = set()
+        self._is_out = False
         self.served = 0
         self.refused = 0
 
@@ -101,6 +103,9 @@
         live_id = session.identify(call.call_id)
         if live_id in self._live_by_id:
             return
+        if self._is_out:
+            self._send_elsewhere(session, call)
+            return
         self._live_by_id[live_id] = LiveCall(
             session=session,
             call=call,
@@ -109,6 +114,26 @@
         )
         self.feed_admission(arrivals.build_arrival(live_id, call))
 
+    def set_data_centre_out(self, is_out):
+        """Take no new calls while operators keep the data centre out.
+
+        Entries send none either, but one that was frozen may act on what
+        it knew before. Bound keys are still served: no other process may.
+        """
+        self._is_out = is_out
+
+    def _send_elsewhere(self, session, call):
+        self.refused += 1
+        session.send(
+            messages.Refusal(
+                call_id=call.call_id,
+                outcome=messages.Outcome.NOT_RUN,
+                reason=wire_conf.DATA_CENTRE_OUT_REASON,
+                retry_after_ms=conf.DATA_CENTRE_OUT_RETRY_MS,
+                same_key_may_return=True,
+            )
+        )
+
     def feed_admission(self, event):
         """Pass an event to admission and carry out its decisions."""
         for decision in self._admission.apply(event, now_s=self._clock()):
--- a/packages/savoryyoke-wire/savoryyoke_wire/conf.py
+++ b/packages/savoryyoke-wire/savoryyoke_wire/conf.py
@@ -18,5 +18,6 @@
 
 # Reasons of refusals that the entry acts on.
 QUARANTINED_REASON = 'quarantined'
+DATA_CENTRE_OUT_REASON = 'data_centre_out'
 ISOLATING_REASON = 'isolating'
 SAME_REQUEST_REASON = 'isolating-same-request'
