Split the choice of targets from the relay

Change: choices.TargetChoices owns what a request has tried and asks the router; the link is looked up inside the try. The dropped link was found by reading; no test provokes it.

--- a/packages/savoryyoke-entry/savoryyoke_entry/relays.py
+++ b/packages/savoryyoke-entry/savoryyoke_entry/relays.py
@@ -16,6 +16,7 @@
 from savoryyoke_edge import logs
 from savoryyoke_edge import problems
 from savoryyoke_entry import callers
+from savoryyoke_entry import choices
 from savoryyoke_entry import conf
 from savoryyoke_entry import exceptions
 from savoryyoke_entry import observations
@@ -48,10 +49,13 @@
         self._request = request
         self._suspects = suspect_requests
         self._fingerprint = suspects.compute_fingerprint(request)
-        self._isolation = suspects.IsolatedChoice(
-            fingerprint=self._fingerprint, choose=self._ask_router
+        self._choices = choices.TargetChoices(
+            request=request,
+            service=service,
+            fingerprint=self._fingerprint,
+            clock=clock,
+            call_id=call_id,
         )
-        self._crash_reports = ()
         self._held_back = False
         self._quarantined = False
         self._may_have_run = False
@@ -62,7 +66,6 @@
         self._assembly = assembly.Assembly(resumable=request.streamed)
         self._attempt = 0
         self._resume_index = 0
-        self._excluded = set()
         self._head = None
         self._parts = []
         self._unreturned_bytes = 0
@@ -88,7 +91,7 @@
             verdict = self._suspects.offer(self._call_id, self._fingerprint)
             if self._is_quarantined(verdict):
                 return await self._refuse_for_good()
-            choice = await self._choose(verdict)
+            choice = await self._choices.choose(verdict, self._attempt)
             if isinstance(choice, routing_decisions.NoTarget):
                 if self._may_wait(choice):
                     await anyio.sleep(conf.ISOLATION_PAUSE_S)
@@ -172,65 +175,12 @@
             return decision
         return None
 
-    async def _choose(self, verdict):
-        """Return the router's choice, or that of the isolation."""
-        if isinstance(verdict, quarantine_decisions.Isolate):
-            self._crash_reports = verdict.reports
-            choice = self._isolation.choose(
-                self._build_routing_request,
-                target_ids=self._service.target_ids,
-                excluded=frozenset(self._excluded),
-            )
-        else:
-            self._crash_reports = ()
-            choice = await self._choose_in_turn()
-        observations.log_choice(
-            self._call_id,
-            self._attempt,
-            self._build_routing_request(frozenset()),
-            choice,
-        )
-        return choice
-
-    async def _choose_in_turn(self):
-        choice = self._ask_for_any()
-        if not isinstance(choice, routing_decisions.NoTarget):
-            return choice
-        return await self._service.turns.wait(
-            choice,
-            self._ask_for_any,
-            self._ask_for_queue,
-            priority=self._request.priority,
-            deadline_s=self._request.deadline_s,
-        )
-
-    def _ask_for_queue(self):
-        request = self._build_routing_request(frozenset(self._excluded))
-        return self._service.router.choose_queue(request, self._clock())
-
-    def _ask_for_any(self):
-        excluded = frozenset(self._excluded)
-        return self._ask_router(self._build_routing_request(excluded))
-
-    def _ask_router(self, request):
-        return self._service.router.choose(request, self._clock())
-
-    def _build_routing_request(self, excluded):
-        return routing_decisions.Request(
-            service=self._request.route.service_name,
-            prefix_digests=self._request.prefix_digests,
-            team=self._request.team_name,
-            priority=self._request.priority,
-            remaining_s=self._request.deadline_s - self._clock(),
-            excluded_target_ids=excluded,
-        )
-
     async def _try_target(self, choice):
         self._report_try(choice.target_id)
-        link = self._service.get_link(choice.target_id)
         attempt_id = f'{self._call_id}.{self._attempt}'
-        self._excluded.add(choice.target_id)
+        self._choices.exclude(choice.target_id)
         try:
+            link = self._service.get_link(choice.target_id)
             channel = link.open_channel()
             link.send(self._build_call(channel))
         except exceptions.LinkDown:
@@ -316,9 +266,9 @@
         self._note_refusal(message)
         self._held_back = True
         self._last_reason = message.reason
-        self._excluded.discard(target_id)
-        if message.reason == wire_conf.ISOLATING_REASON:
-            self._isolation.note_occupied(target_id)
+        self._choices.hold_back(
+            target_id, occupied=message.reason == wire_conf.ISOLATING_REASON
+        )
         return True
 
     def _note_refusal(self, refusal):
@@ -454,7 +404,7 @@
             self._request,
             call_id=channel.call_id,
             fingerprint=self._fingerprint,
-            reports=self._crash_reports,
+            reports=self._choices.crash_reports,
             resume_index=self._resume_index,
             delivered=self._assembly.delivered,
             now_s=self._clock(),
