Count refused configurations at targets too

Cause: a file that is refused must be visible in the metrics of every daemon; targets had no such metric.

--- a/packages/savoryyoke-target/savoryyoke_target/daemon.py
+++ b/packages/savoryyoke-target/savoryyoke_target/daemon.py
@@ -150,6 +150,7 @@
             admission=self._admission,
             ledger=self._ledger,
             dispatcher=self._dispatcher,
+            plane=self._plane,
         )
 
     async def _serve(self, tasks):
--- a/packages/savoryyoke-target/savoryyoke_target/metrics.py
+++ b/packages/savoryyoke-target/savoryyoke_target/metrics.py
@@ -3,7 +3,7 @@
 import prometheus_client
 
 
-def register(registry, *, admission, ledger, dispatcher):
+def register(registry, *, admission, ledger, dispatcher, plane):
     """Register gauges that read the state when they are collected."""
     gauges = {
         'savoryyoke_target_running': (
@@ -30,6 +30,10 @@
             'Idempotent calls that were handed to the back end.',
             lambda: dispatcher.served,
         ),
+        'savoryyoke_target_configuration_reports': (
+            'Faults found in configurations since the start.',
+            lambda: plane.reports,
+        ),
         'savoryyoke_target_calls_refused': (
             'Calls that admission refused.',
             lambda: dispatcher.refused,
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -1,5 +1,6 @@
 """Prove with real processes that configuration is in force everywhere."""
 
+from savoryyoke_fakes import clients
 from savoryyoke_fakes import fleets
 from tests import support
 
@@ -21,6 +22,17 @@
         """Return the set of revisions in force over all daemons."""
         return {self.fleet.read_status(vm_id)['revision'] for vm_id in DAEMONS}
 
+    def read_reports(self, vm_id):
+        """Return how many faults of configurations a daemon counts."""
+        address = self.fleet.admin_addresses_by_name[vm_id]
+        text = clients.call('GET', address, '/metrics').body.decode()
+        (line,) = [
+            line
+            for line in text.splitlines()
+            if '_configuration_reports ' in line and line[0] != '#'
+        ]
+        return float(line.split()[1])
+
     def publish_and_wait(self, text):
         """Publish a base and wait until it is in force everywhere."""
         started_s = support.time.monotonic()
@@ -47,6 +59,8 @@
         )
         self.assertEqual(before, self.read_revisions())
         self.assertEqual(200, self.client.look_up().status)
+        for vm_id in (entry, fleets.TARGETS[0].vm_id):
+            support.wait_until(lambda vm_id=vm_id: self.read_reports(vm_id))
         self.publish_and_wait(fleets.BASE_TEXT + NEW_TEAM)
 
     def test_daemon_that_boots_in_an_outage_learns_from_its_peers(self):
