--- a/packages/savoryyoke-edge/savoryyoke_edge/platform.py
+++ b/packages/savoryyoke-edge/savoryyoke_edge/platform.py
@@ -10,7 +10,6 @@
 
 VALUE_LIMIT_BYTES = 1024 * 1024 + 64 * 1024
 CALL_TIMEOUT_S = 5.0
-WATCH_TIMEOUT_S = 30.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/savoryyoke-entry/savoryyoke_entry/callers.py
+++ b/packages/savoryyoke-entry/savoryyoke_entry/callers.py
@@ -4,7 +4,6 @@
 
 import anyio
 
-from savoryyoke_edge import problems
 from savoryyoke_entry import exceptions
 
 DONE = b'data: [DONE]\n\n'
@@ -89,10 +88,3 @@
         for name, value in headers
         if name.lower() not in _REPLACED_HEADERS
     ]
-
-
-def build_refusal(name, *, reason, retry_after_s=None, **fields):
-    """Return a problem for a call that got no answer."""
-    return problems.Problem(
-        name=name, reason=reason, retry_after_s=retry_after_s, **fields
-    )
--- a/packages/savoryyoke-entry/savoryyoke_entry/fleet.py
+++ b/packages/savoryyoke-entry/savoryyoke_entry/fleet.py
@@ -65,10 +65,7 @@
 
     def get_link(self, target_id):
         """Return the link to a target; raise ``LinkDown`` without one."""
-        link = self._links_by_target_id.get(target_id)
-        if link is None:
-            raise exceptions.LinkDown(target_id)
-        return link
+        return _find_link(self._links_by_target_id, target_id)
 
 
 class Fleet:
@@ -116,10 +113,7 @@
 
     def get_link(self, target_id):
         """Return the link to a target; raise ``LinkDown`` without one."""
-        link = self._links_by_target_id.get(target_id)
-        if link is None:
-            raise exceptions.LinkDown(target_id)
-        return link
+        return _find_link(self._links_by_target_id, target_id)
 
     def bind(self, service_name):
         """Return the text of a binding for new keys, or None."""
@@ -384,6 +378,13 @@
         await link.run()
 
 
+def _find_link(links_by_target_id, target_id):
+    link = links_by_target_id.get(target_id)
+    if link is None:
+        raise exceptions.LinkDown(target_id)
+    return link
+
+
 def _bound_ratio(value):
     if not math.isfinite(value):
         return 0.0
