Collect the map in use after the agents of a group restart

Cause: the content of a map travelled with the directive that prepares it and was kept nowhere else. A restarted agent also waited a second before it first looked its group up.

Ruled out: slow ranks (no pace_changed after second 27), a lack of counts (demand-unknown once, for 0.2 s), the entries (nothing was refused).

A leader without the content of the map in use now asks for it, each rank reads its own lists from its engine, and groups.balancing.contents puts them together. Members are looked up five times a second until known.

--- a/packages/savoryyoke-agent/savoryyoke_agent/balancer.py
+++ b/packages/savoryyoke-agent/savoryyoke_agent/balancer.py
@@ -5,6 +5,7 @@
 import anyio
 
 from savoryyoke.groups.balancing import conf as balancing_conf
+from savoryyoke.groups.balancing import contents
 from savoryyoke.groups.balancing import demand
 from savoryyoke.groups.balancing import planner
 from savoryyoke.groups.balancing import search
@@ -15,7 +16,9 @@
 
 
 class Balancer:
-    """Own the estimate of demand and the maps that were planned.
+    """Own the estimate of demand and plan on it.
+
+    ``contents`` holds what is known of maps.
 
     A slice of a search takes some 50 ms on the smallest VMs; between two
     slices the process serves its sockets.
@@ -26,7 +29,7 @@
         self._policy = policy or balancing_conf.BalancePolicy()
         self._demand = None
         self._shape = None
-        self._experts_by_version = {}
+        self.contents = contents.MapContents()
         self._steps = collections.deque()
         self._kept_because = None
 
@@ -36,19 +39,13 @@
             return
         self._shape = shape
         self._demand = demand.Demand(sets=shape.sets, experts=shape.experts)
-        self._experts_by_version.clear()
+        self.contents.set_shape(shape)
 
     def note_counts(self, rank, counts):
         """Take in the counts of a rank."""
         if self._demand is not None:
             self._demand.note(rank, counts, now_s=self._clock())
 
-    def note_map(self, expert_map):
-        """Remember what a version holds."""
-        self._experts_by_version[expert_map.version] = expert_map.experts
-        while len(self._experts_by_version) > conf.MAPS_KEPT:
-            del self._experts_by_version[min(self._experts_by_version)]
-
     def note_step(self, step):
         """Take in the number of the last pass."""
         now_s = self._clock()
@@ -71,7 +68,7 @@
 
         ``paces`` holds each rank's time over the usual one, by rank.
         """
-        present = self._find_experts(version, len(paces))
+        present = self.contents.find(version, ranks=len(paces))
         if present is None or self._demand is None:
             return self._keep(version, 'content-unknown')
         if self.pass_s() < self._policy.least_pass_s:
@@ -106,14 +103,6 @@
                 pass_s=self.pass_s(),
             )
 
-    def _find_experts(self, version, ranks):
-        """Return what the present version holds; None if unknown."""
-        if version == 0 and self._shape is not None:
-            return planner.make_first_map(
-                sets=self._shape.sets, ranks=ranks, experts=self._shape.experts
-            )
-        return self._experts_by_version.get(version)
-
     def _is_even(self, present, wanted, paces):
         peaks = [
             search.find_peak(ranks_experts, one, paces)
--- a/packages/savoryyoke-agent/savoryyoke_agent/conf.py
+++ b/packages/savoryyoke-agent/savoryyoke_agent/conf.py
@@ -26,6 +26,3 @@
 
 # The pace of passes is taken over this time.
 PACE_WINDOW_S = 1.0
-
-# Maps of former versions are kept for a change of the leader.
-MAPS_KEPT = 4
--- a/packages/savoryyoke-agent/savoryyoke_agent/daemon.py
+++ b/packages/savoryyoke-agent/savoryyoke_agent/daemon.py
@@ -187,6 +187,7 @@
             term=term,
             host=self._settings.own_host,
             draw_bits=self._random.getrandbits,
+            knows_map=self._balancer.contents.knows,
             now_s=self._clock(),
             former=self._agent.directive,
         )
@@ -230,7 +231,7 @@
 
     def remember(self, expert_map):
         """Keep a map whose version may come into use."""
-        self._balancer.note_map(expert_map)
+        self._balancer.contents.note_map(expert_map)
 
     async def order_remotely(self, host, order):
         """Order for a rank whose agent is silent, and look at the result."""
@@ -263,6 +264,8 @@
                     self._wake.set()
             case group.CountsReport():
                 self._balancer.note_counts(message.rank, message.counts)
+            case group.HeldReport():
+                self._note_held(message)
 
     def _take_directive(self, directive):
         state = self._agent.state
@@ -275,7 +278,7 @@
             self._step_down(directive.term)
         before = self._phase()
         if directive.expert_map is not None:
-            self._balancer.note_map(directive.expert_map)
+            self._balancer.contents.note_map(directive.expert_map)
         # Orders follow with the next observation, which comes at once.
         self._agent.follow(directive)
         if directive.phase is not before or directive.phase is not _Phase.IDLE:
@@ -294,6 +297,8 @@
             state, directive = self._agent.state, self._agent.directive
             if state is None or directive is None:
                 continue
+            if directive.wants_experts:
+                await self._send_held(state, directive)
             counts = await self._engine.read_counts()
             if counts is None or counts == sent:
                 continue
@@ -306,6 +311,28 @@
             )
             await self._exchange.send(report, [directive.leader_host])
 
+    async def _send_held(self, state, directive):
+        """Tell the leader the experts that this rank holds."""
+        held = await self._engine.read_experts()
+        if held is None:
+            return
+        report = group.HeldReport(
+            group=state.group, rank=state.rank, held=held
+        )
+        if self._leader is not None:
+            self._note_held(report)
+        else:
+            await self._exchange.send(report, [directive.leader_host])
+
+    def _note_held(self, report):
+        state, contents = self._agent.state, self._balancer.contents
+        version = report.held.version
+        if state is None or contents.knows(version):
+            return
+        contents.note_held(report.rank, report.held, ranks=state.ranks)
+        if contents.knows(version):
+            logs.write_event('map_collected', version=version)
+
     async def _report_pace(self):
         """Tell entries of a slow rank while it is slow."""
         was_slow = False
@@ -335,7 +362,8 @@
                 known = self._membership.known
                 if known is not None:
                     self._balancer.set_shape(known.shape)
-            await anyio.sleep(conf.MEMBERS_S)
+            is_known = self._membership.known is not None
+            await anyio.sleep(conf.MEMBERS_S if is_known else conf.REPEAT_S)
 
     def _lacks_members(self, state):
         known = self._membership.known
--- a/packages/savoryyoke-agent/savoryyoke_agent/ports.py
+++ b/packages/savoryyoke-agent/savoryyoke_agent/ports.py
@@ -53,6 +53,9 @@
     async def read_counts(self):
         """Return the own rank's counts, set by set, or None."""
 
+    async def read_experts(self):
+        """Return the own rank's ``RankMap`` in use, or None."""
+
     async def give(self, order, host=None):
         """Give an order and return its ``OrderResult``."""
 
--- a/packages/savoryyoke-agent/tests/support.py
+++ b/packages/savoryyoke-agent/tests/support.py
@@ -4,6 +4,7 @@
 
 import anyio
 
+from savoryyoke.groups.balancing import planner
 from savoryyoke.groups.rollout import decisions
 from savoryyoke.groups.rollout import events
 from savoryyoke.groups.rollout import models
@@ -17,6 +18,9 @@
 PATIENCE_S = 20.0
 SHAPE = ports.GroupShape(sets=1, experts=6, places=4, spare=2)
 RANKS = 3
+FIRST_MAP = planner.make_first_map(
+    sets=SHAPE.sets, ranks=RANKS, experts=SHAPE.experts
+)
 
 
 class Group:
@@ -30,6 +34,7 @@
         self.held = [None] * RANKS
         self.mixed = []
         self.hot = 0
+        self._experts_by_version = {0: FIRST_MAP}
         self._counts = [[0] * SHAPE.experts for _ in range(RANKS)]
 
     async def run(self):
@@ -64,10 +69,23 @@
         """Return the counts of a rank."""
         return tuple(self._counts[rank])
 
+    def read_experts(self, rank):
+        """Return what a rank holds under the map in use."""
+        version = self.active[rank]
+        return models.RankMap(
+            version=version,
+            experts=tuple(
+                by_rank[rank] for by_rank in self._experts_by_version[version]
+            ),
+        )
+
     def give(self, rank, order):
         """Carry an order out."""
         match order:
             case decisions.Prepare(expert_map=expert_map):
+                self._experts_by_version[expert_map.version] = (
+                    expert_map.experts
+                )
                 self.prepared[rank] = expert_map.version
             case decisions.Arm(version=version, step=step):
                 self.armed[rank] = (version, step)
@@ -106,6 +124,10 @@
         """Return the own counts."""
         return self._group.read_counts(self._rank)
 
+    async def read_experts(self):
+        """Return the experts that the own rank holds."""
+        return self._group.read_experts(self._rank)
+
     async def give(self, order, host=None):
         """Give an order."""
         return self._group.give(self._find(host), order)
--- a/packages/savoryyoke-agent/tests/test_daemon.py
+++ b/packages/savoryyoke-agent/tests/test_daemon.py
@@ -31,27 +31,45 @@
                     await daemon.run()
 
             async with anyio.create_task_group() as tasks:
+
+                def start(rank):
+                    tasks.start_soon(run, rank)
+
                 tasks.start_soon(group.run)
                 tasks.start_soon(support.serve_copies, port)
                 for rank in range(support.RANKS):
-                    tasks.start_soon(run, rank)
-                await scenario(group, scopes)
+                    start(rank)
+                await scenario(group, scopes, start)
                 tasks.cancel_scope.cancel()
             self.assertEqual([], group.mixed)
 
         anyio.run(main)
 
     def test_maps_follow_demand(self):
-        async def scenario(group, scopes):
+        async def scenario(group, scopes, start):
+            await wait_until(lambda: all(group.active))
+            first = group.active[0]
+            group.hot = 3
+            await wait_until(lambda: min(group.active) > first)
+
+        self.run_group(scenario)
+
+    def test_maps_follow_demand_after_all_agents_restart(self):
+        async def scenario(group, scopes, start):
             await wait_until(lambda: all(group.active))
+            for rank in range(support.RANKS):
+                scopes[rank].cancel()
+            await anyio.sleep(0.1)
             first = group.active[0]
+            for rank in range(support.RANKS):
+                start(rank)
             group.hot = 3
             await wait_until(lambda: min(group.active) > first)
 
         self.run_group(scenario)
 
     def test_another_leader_takes_over(self):
-        async def scenario(group, scopes):
+        async def scenario(group, scopes, start):
             await wait_until(lambda: all(group.active))
             first = group.active[0]
             # The highest rank leads: it stood for election last.
--- a/packages/savoryyoke-wire/savoryyoke_wire/group.capnp
+++ b/packages/savoryyoke-wire/savoryyoke_wire/group.capnp
@@ -21,6 +21,7 @@
   sets @8 :List(Set);
   step @9 :UInt64;
   holdRank @10 :UInt32;
+  wantsExperts @11 :Bool;
 }
 
 struct Report {
@@ -46,6 +47,13 @@
   counts @2 :List(UInt32);
 }
 
+struct Held {
+  group @0 :Text;
+  rank @1 :UInt32;
+  version @2 :UInt64;
+  sets @3 :List(Rank);
+}
+
 struct Pace {
   address @0 :Text;
   pace @1 :Float32;
@@ -58,5 +66,6 @@
     report @2 :Report;
     counts @3 :Counts;
     pace @4 :Pace;
+    held @5 :Held;
   }
 }
--- a/packages/savoryyoke-wire/savoryyoke_wire/group.py
+++ b/packages/savoryyoke-wire/savoryyoke_wire/group.py
@@ -27,6 +27,15 @@
     counts: tuple[int, ...]
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class HeldReport:
+    """Report the experts that a rank holds."""
+
+    group: str
+    rank: int
+    held: models.RankMap
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class PaceReport:
     """Tell entries how slow the target at ``address`` is.
@@ -59,6 +68,7 @@
     body.version = message.version
     body.step = message.step
     body.holdRank = message.hold_rank
+    body.wantsExperts = message.wants_experts
     if message.expert_map is not None:
         _write_sets(body, message.expert_map.experts)
     return _finish(envelope)
@@ -93,6 +103,17 @@
     return _finish(envelope)
 
 
+@encode.register
+def _(message: HeldReport):
+    envelope, body = _begin('held')
+    body.group = message.group
+    body.rank = message.rank
+    body.version = message.held.version
+    experts = message.held.experts
+    _write_rows(body.init('sets', len(experts)), experts)
+    return _finish(envelope)
+
+
 @encode.register
 def _(message: PaceReport):
     envelope, body = _begin('pace')
@@ -140,9 +161,12 @@
 def _write_sets(body, experts):
     sets = body.init('sets', len(experts))
     for item, ranks in zip(sets, experts, strict=True):
-        rows = item.init('ranks', len(ranks))
-        for row, held in zip(rows, ranks, strict=True):
-            row.experts = list(held)
+        _write_rows(item.init('ranks', len(ranks)), ranks)
+
+
+def _write_rows(rows, experts):
+    for row, held in zip(rows, experts, strict=True):
+        row.experts = list(held)
 
 
 def _read_directive(envelope):
@@ -164,6 +188,7 @@
         expert_map=expert_map,
         step=body.step,
         hold_rank=body.holdRank,
+        wants_experts=body.wantsExperts,
     )
 
 
@@ -195,6 +220,18 @@
     )
 
 
+def _read_held(envelope):
+    body = envelope.held
+    return HeldReport(
+        group=body.group,
+        rank=body.rank,
+        held=models.RankMap(
+            version=body.version,
+            experts=tuple(tuple(row.experts) for row in body.sets),
+        ),
+    )
+
+
 def _read_pace(envelope):
     return PaceReport(address=envelope.pace.address, pace=envelope.pace.pace)
 
@@ -204,6 +241,7 @@
     'directive': _read_directive,
     'report': _read_report,
     'counts': _read_counts,
+    'held': _read_held,
 }
 
 
--- a/packages/savoryyoke/savoryyoke/groups/balancing/conf.py
+++ b/packages/savoryyoke/savoryyoke/groups/balancing/conf.py
@@ -19,6 +19,9 @@
     relief_per_copy: float = 0.08
 
 
+# Maps of former versions are kept for a change of the leader.
+MAPS_KEPT = 4
+
 # Demand shifts every few seconds. The recent window finds a shift within
 # some tenths of a second; the long one keeps what is always in demand.
 RECENT_S = 0.4
--- a/packages/savoryyoke/savoryyoke/groups/rollout/leader.py
+++ b/packages/savoryyoke/savoryyoke/groups/rollout/leader.py
@@ -35,16 +35,29 @@
     the ranks are.
     """
 
-    def __init__(self, *, group, term, host, draw_bits, now_s, former=None):
+    def __init__(
+        self,
+        *,
+        group,
+        term,
+        host,
+        draw_bits,
+        knows_map,
+        now_s,
+        former=None,
+    ):
         """Start to learn.
 
-        ``draw_bits(n)`` returns an integer of n random bits. ``former`` is
-        the newest directive of an older term that is known.
+        ``draw_bits(n)`` returns an integer of n random bits, and
+        ``knows_map(version)`` whether the content of a map is known; if not,
+        the ranks are asked for it. ``former`` is the newest directive of an
+        older term that is known.
         """
         self._group = group
         self._term = term
         self._host = host
         self._draw_bits = draw_bits
+        self._knows_map = knows_map
         self._sequence = 0
         self._heard_by_rank = {}
         self._phase = _Phase.LEARN
@@ -318,9 +331,16 @@
                 ),
                 step=self._step,
                 hold_rank=self._hold_rank,
+                wants_experts=self._lacks_map(),
             )
         )
 
+    def _lacks_map(self):
+        """Return whether a map in use can't be planned upon."""
+        return self._phase is _Phase.IDLE and not all(
+            self._knows_map(x.active) for x in self._current_states()
+        )
+
 
 _STEPS_BY_PHASE = {
     _Phase.LEARN: GroupLeader._learn,
--- a/packages/savoryyoke/savoryyoke/groups/rollout/models.py
+++ b/packages/savoryyoke/savoryyoke/groups/rollout/models.py
@@ -68,13 +68,22 @@
     experts: tuple[tuple[tuple[int, ...], ...], ...]
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RankMap:
+    """Hold the experts of one rank under a map, by set and place."""
+
+    version: int
+    experts: tuple[tuple[int, ...], ...]
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Directive:
     """Say what a leader wants of every rank.
 
     ``expert_map`` is set while it is prepared. From ``HOLD`` on, ``version``
     is the map to switch to as pass ``step`` begins, and ``hold_rank`` holds
-    the group before that pass.
+    the group before that pass. ``wants_experts`` asks each rank for the
+    experts that it holds.
     """
 
     group: str
@@ -87,3 +96,4 @@
     expert_map: ExpertMap | None = None
     step: int = 0
     hold_rank: int = 0
+    wants_experts: bool = False
--- /dev/null
+++ b/packages/savoryyoke/tests/groups/balancing/test_contents.py
@@ -0,0 +1,75 @@
+"""Test what is known of the maps of a group."""
+
+import dataclasses
+import unittest
+
+from savoryyoke.groups.balancing import conf
+from savoryyoke.groups.balancing import contents
+from savoryyoke.groups.balancing import planner
+from savoryyoke.groups.rollout import models
+
+RANKS = 3
+VERSION = 7
+# By set, rank and place.
+EXPERTS = (((0, 3), (1, 4), (2, 5, 0)), ((5,), (4, 3), (0, 1, 2)))
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Shape:
+    sets: int = 2
+    experts: int = 6
+
+
+def hold(rank, *, version=VERSION):
+    """Return what a rank holds under ``EXPERTS``."""
+    return models.RankMap(
+        version=version, experts=tuple(by_rank[rank] for by_rank in EXPERTS)
+    )
+
+
+class MapContentsTests(unittest.TestCase):
+    def setUp(self):
+        self.contents = contents.MapContents()
+        self.contents.set_shape(Shape())
+
+    def test_first_map_needs_no_report(self):
+        self.assertTrue(self.contents.knows(0))
+        self.assertEqual(
+            planner.make_first_map(sets=2, ranks=RANKS, experts=6),
+            self.contents.find(0, ranks=RANKS),
+        )
+
+    def test_map_is_collected_from_all_ranks(self):
+        for rank in (2, 0):
+            self.contents.note_held(rank, hold(rank), ranks=RANKS)
+            self.assertFalse(self.contents.knows(VERSION))
+        self.contents.note_held(1, hold(1), ranks=RANKS)
+        self.assertTrue(self.contents.knows(VERSION))
+        self.assertEqual(EXPERTS, self.contents.find(VERSION, ranks=RANKS))
+
+    def test_reports_of_two_versions_are_not_mixed(self):
+        self.contents.note_held(0, hold(0, version=6), ranks=RANKS)
+        for rank in (1, 2):
+            self.contents.note_held(rank, hold(rank), ranks=RANKS)
+        self.assertFalse(self.contents.knows(VERSION))
+        self.assertFalse(self.contents.knows(6))
+        self.contents.note_held(0, hold(0), ranks=RANKS)
+        self.assertTrue(self.contents.knows(VERSION))
+
+    def test_a_bounded_number_of_maps_is_kept(self):
+        versions = range(1, conf.MAPS_KEPT + 2)
+        for version in versions:
+            self.contents.note_map(
+                models.ExpertMap(version=version, experts=EXPERTS)
+            )
+        known = [
+            version for version in versions if self.contents.knows(version)
+        ]
+        self.assertEqual(list(versions)[1:], known)
+
+    def test_another_shape_forgets_all(self):
+        self.contents.note_map(
+            models.ExpertMap(version=VERSION, experts=EXPERTS)
+        )
+        self.contents.set_shape(Shape(experts=12))
+        self.assertFalse(self.contents.knows(VERSION))
--- a/packages/savoryyoke/tests/groups/rollout/test_rollout.py
+++ b/packages/savoryyoke/tests/groups/rollout/test_rollout.py
@@ -3,6 +3,7 @@
 import unittest
 import unittest.mock
 
+from savoryyoke.groups.rollout import events
 from savoryyoke.groups.rollout import leader
 from savoryyoke.groups.rollout import models
 
@@ -100,3 +101,45 @@
 
     def test_releasing_before_all_are_armed(self):
         self.assertGreater(self.count_mixed(leader_class=ReleasesTooEarly), 0)
+
+
+class LostContentTests(unittest.TestCase):
+    """Ask for the map in use where its content is not known."""
+
+    def lead(self, *, active, known):
+        """Return what a new leader of a single rank publishes."""
+        made = leader.GroupLeader(
+            group='g',
+            term=models.Term(number=1, rank=0),
+            host='0',
+            draw_bits=lambda count: 1,
+            knows_map=known.__contains__,
+            now_s=0.0,
+        )
+        report = models.RankReport(
+            host='0',
+            term=made.term,
+            state=models.EngineState(
+                group='g',
+                epoch=1,
+                rank=0,
+                ranks=1,
+                is_open=True,
+                step=5,
+                active=active,
+                prepared=None,
+                armed=None,
+                held=None,
+            ),
+        )
+        made.apply(events.RankReported(report=report), now_s=0.1)
+        (published,) = made.apply(events.TimePassed(), now_s=0.2)
+        return published.directive
+
+    def test_leader_asks_for_an_unknown_map(self):
+        directive = self.lead(active=4, known={0})
+        self.assertIs(models.Phase.IDLE, directive.phase)
+        self.assertTrue(directive.wants_experts)
+
+    def test_leader_does_not_ask_for_a_known_map(self):
+        self.assertFalse(self.lead(active=4, known={0, 4}).wants_experts)
--- a/packages/savoryyoke/tests/groups/rollout/world.py
+++ b/packages/savoryyoke/tests/groups/rollout/world.py
@@ -297,6 +297,7 @@
                 ),
                 host=str(rank),
                 draw_bits=self.random.getrandbits,
+                knows_map=lambda version: True,
                 now_s=self.now_s,
                 former=process.agent.directive,
             )
