Leave out heartbeats and contacts that say nothing new

Eight entries sent each other ten heartbeats a second of 200 to 360 bytes, 105 of them the list of contacts: about half of all bytes.

Ruled out: bodies of streams (28 events of 65 bytes, 700 streams: 2 MB) and counts of the ranks (some 2 MB).

A heartbeat that says nothing new is left out while the last one is younger than 0.25 s, and contacts go along when they changed or once a second (peers.pacing, pure). Changes of the requests in flight still go out with the next heartbeat, 0.1 s at most.

--- a/packages/savoryyoke-gateway/savoryyoke_gateway/peering.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/peering.py
@@ -7,6 +7,7 @@
 
 from savoryyoke.peers import conf as peers_conf
 from savoryyoke.peers import messages
+from savoryyoke.peers import pacing
 from savoryyoke.peers import slow_targets
 from savoryyoke.peers import table
 
@@ -38,6 +39,7 @@
         self._behind_since_s = None
         self._names_alive = set()
         self._slow_targets = slow_targets.SlowTargets()
+        self._pacing = pacing.HeartbeatPacing()
         self._socket = None
         self._sending = anyio.Lock()
         self.table = table.PeerTable(
@@ -87,7 +89,12 @@
         )
 
     async def _send_heartbeats(self):
-        packed = fleet.encode_heartbeat(self._build_heartbeat())
+        heartbeat = self._pacing.select(
+            self._build_heartbeat(), now_s=self._clock()
+        )
+        if heartbeat is None:
+            return
+        packed = fleet.encode_heartbeat(heartbeat)
         # One task at a time may use the socket.
         async with self._sending:
             for host in self.table.contact_hosts(now_s=self._clock()):
--- a/packages/savoryyoke/savoryyoke/peers/conf.py
+++ b/packages/savoryyoke/savoryyoke/peers/conf.py
@@ -4,11 +4,20 @@
 # a quarter of the objective of the users' streams (some 400 ms).
 HEARTBEAT_S = 0.1
 
+# A heartbeat that says nothing new is left out until the last one is this
+# old: with heartbeats each 0.1 s, two of three may be lost within the timeout.
+UNCHANGED_HEARTBEAT_S = 0.25
+
+# Contacts are passed on when they have changed and once in this time, for
+# entries that missed the change.
+CONTACTS_S = 1.0
+
 # Spreads the datagrams of large fleets: an entry sends at most one each
 # 2 ms on average.
 HEARTBEAT_PER_PEER_S = 0.002
 
-# Ten lost datagrams in a row are a peer that is gone, not a lossy link.
+# Three to ten lost datagrams in a row are a peer that is gone, not a lossy
+# link.
 PEER_TIMEOUT_S = 1.0
 
 # Reports of slow targets come three times a second while they are slow.
--- /dev/null
+++ b/packages/savoryyoke/savoryyoke/peers/pacing.py
@@ -0,0 +1,49 @@
+"""Decide which heartbeats to send and what they carry."""
+
+import dataclasses
+
+from savoryyoke.peers import conf
+
+
+class HeartbeatPacing:
+    """Leave out what the other entries know already.
+
+    Answers the many small datagrams of a quiet fleet, which cost more bytes
+    between data centres than the requests of callers.
+    """
+
+    def __init__(self):
+        self._sent = None
+        self._sent_s = None
+        self._contact_hosts = None
+        self._contacts_sent_s = None
+
+    def select(self, heartbeat, *, now_s):
+        """Return the heartbeat to send, or None.
+
+        Its sequence number is not compared. Contacts are left out while
+        they are known.
+        """
+        if self._is_known(heartbeat, now_s):
+            return None
+        self._sent = heartbeat
+        self._sent_s = now_s
+        if self._are_contacts_known(heartbeat, now_s):
+            return dataclasses.replace(heartbeat, contact_hosts=())
+        self._contact_hosts = heartbeat.contact_hosts
+        self._contacts_sent_s = now_s
+        return heartbeat
+
+    def _is_known(self, heartbeat, now_s):
+        if self._sent is None:
+            return False
+        if now_s - self._sent_s >= conf.UNCHANGED_HEARTBEAT_S:
+            return False
+        sequence = heartbeat.sequence
+        return heartbeat == dataclasses.replace(self._sent, sequence=sequence)
+
+    def _are_contacts_known(self, heartbeat, now_s):
+        return (
+            heartbeat.contact_hosts == self._contact_hosts
+            and now_s - self._contacts_sent_s < conf.CONTACTS_S
+        )
--- /dev/null
+++ b/packages/savoryyoke/tests/peers/test_pacing.py
@@ -0,0 +1,75 @@
+"""Test which heartbeats are sent."""
+
+import dataclasses
+import unittest
+
+from savoryyoke.peers import conf
+from savoryyoke.peers import messages
+from savoryyoke.peers import pacing
+from savoryyoke.peers import table
+
+from tests.peers import test_table
+
+HOSTS = ('10.0.0.2', '10.0.0.3')
+
+
+class HeartbeatPacingTests(unittest.TestCase):
+    def setUp(self):
+        self.pacing = pacing.HeartbeatPacing()
+        self.heartbeat = test_table.heartbeat(1, contact_hosts=HOSTS)
+
+    def select(self, now_s, **changes):
+        changed = dataclasses.replace(self.heartbeat, **changes)
+        return self.pacing.select(changed, now_s=now_s)
+
+    def test_first_heartbeat_is_sent_whole(self):
+        self.assertEqual(self.heartbeat, self.select(0.0))
+
+    def test_unchanged_heartbeat_is_left_out_for_a_while(self):
+        self.select(0.0)
+        self.assertIsNone(self.select(0.1, sequence=2))
+        later_s = conf.UNCHANGED_HEARTBEAT_S
+        self.assertIsNotNone(self.select(later_s, sequence=3))
+
+    def test_every_change_is_sent_at_once(self):
+        changes = (
+            {'in_flight': (messages.InFlight(target_id='t', requests=1),)},
+            {'is_ready': False},
+            {'is_leaving': True},
+            {'published_as_of': 2},
+            {'slow_targets': (messages.SlowTarget(address='a', pace=2.0),)},
+        )
+        for change in changes:
+            with self.subTest(change=change):
+                self.pacing = pacing.HeartbeatPacing()
+                self.select(0.0)
+                sent = self.select(0.01, sequence=2, **change)
+                ((name, value),) = change.items()
+                self.assertEqual(value, getattr(sent, name))
+
+    def test_known_contacts_are_left_out_for_a_while(self):
+        self.select(0.0)
+        sent = self.select(0.1, published_as_of=2)
+        self.assertEqual((), sent.contact_hosts)
+        sent = self.select(conf.CONTACTS_S, published_as_of=3)
+        self.assertEqual(HOSTS, sent.contact_hosts)
+
+    def test_changed_contacts_are_sent_at_once(self):
+        self.select(0.0)
+        sent = self.select(0.1, contact_hosts=HOSTS[:1])
+        self.assertEqual(HOSTS[:1], sent.contact_hosts)
+
+    def test_quiet_peer_stays_alive_with_two_of_three_heartbeats_lost(self):
+        known = table.PeerTable(
+            own_id='e2', own_host='10.0.0.2', seed_hosts=[]
+        )
+        sent = 0
+        for tick in range(200):
+            now_s = tick * conf.HEARTBEAT_S
+            heartbeat = self.select(now_s, sequence=tick)
+            if heartbeat is not None:
+                if sent % 3 == 0:
+                    known.receive(heartbeat, now_s=now_s)
+                sent += 1
+            self.assertEqual([], known.forget_silent(now_s=now_s))
+        self.assertLess(sent, 80)
