Rule out most steps of the map search by lower bounds

Cause: the search for one set worked out every step for the slowest rank, some 1,100 a set, each with dictionaries and sets: 18 to 28 ms a set here, so that a plan of four sets took 0.2 to 0.4 s on a rank's VM after a shift.

Ruled out: numpy (51 to 81 ms to import and 11 MB in each of 12 processes); always helping with the emptiest rank first (it uses up what that rank may copy: highest load 1.185 times the mean instead of 1.167, and test_peak_falls_close_to_even fails at 1.33).

Steps whose lower bound cannot beat the best one are left out, and ranks are tried from the least loaded, to a quarter of the peak.

Conclusion: planning is no longer the longest part of the way from a shift to the switch; copies and the passes ahead are.

--- a/packages/savoryyoke/savoryyoke/groups/balancing/search.py
+++ b/packages/savoryyoke/savoryyoke/groups/balancing/search.py
@@ -83,6 +83,8 @@
                 self._holders[expert].add(rank)
         self._loads = find_loads(self._held, demand, paces)
         self._price = relief_per_copy * sum(demand) / len(self._held)
+        self._gain = 0.0
+        self._chosen = None
 
     def result(self):
         """Return the experts of each rank, in order."""
@@ -92,53 +94,98 @@
         """Take the best step for the most loaded rank, if there is one."""
         peak = max(self._loads)
         slowest = self._loads.index(peak)
-        best = _LEAST_STEP * peak
-        chosen = None
-        for step in self._steps(slowest):
-            height = self._height_after(step, peak)
-            gain = peak - height - self._price * self._count_copies(step)
-            if gain > best:
-                best, chosen = gain, step
-        if chosen is None:
+        self._gain = _LEAST_STEP * peak
+        self._chosen = None
+        for rank in self._order_by_load(peak):
+            if rank != slowest:
+                self._relieve_with(rank, slowest, peak)
+        if self._chosen is None:
             return False
-        self._take(chosen)
+        self._take(self._chosen)
         return True
 
-    def _count_copies(self, step):
-        return sum(
-            added is not None and added not in self._present[rank]
-            for rank, added, _ in step
+    def _order_by_load(self, peak):
+        """Return the ranks, the least loaded first, to a quarter of the peak.
+
+        The best steps mostly go to the least loaded ranks. Ranks that are
+        about equal keep their order: to help always with the emptiest one uses
+        up what it may copy.
+        """
+        return sorted(
+            range(len(self._loads)),
+            key=lambda rank: round(4 * self._loads[rank] / peak),
         )
 
-    def _steps(self, slowest):
-        """Yield changes that relieve a rank.
+    def _relieve_with(self, rank, slowest, peak):
+        """Try the steps that bring experts of the slowest rank to another.
 
-        A change is a tuple of (rank, expert added or None, expert removed
-        or None).
+        Lower bounds on the loads of the two ranks rule most steps out
+        before they are worked out.
         """
-        for expert in self._held[slowest]:
-            for rank in range(len(self._held)):
-                if rank == slowest or expert in self._held[rank]:
-                    continue
-                if not self._may_add(rank, expert):
-                    continue
-                yield from self._steps_to(slowest, expert, rank)
-
-    def _steps_to(self, slowest, expert, rank):
-        """Yield the ways to bring an expert from a rank to another."""
-        added = (rank, expert)
+        for expert in self._held[slowest] - self._held[rank]:
+            if not self._may_add(rank, expert):
+                continue
+            holders = len(self._holders[expert])
+            moved = self._demand[expert] / holders
+            shared = self._demand[expert] / (holders + 1)
+            price = 0.0 if expert in self._present[rank] else self._price
+            pace = self._paces[slowest]
+            if pace * (moved - shared) > self._gain + price:
+                height = peak - self._gain - price
+                self._share(expert, slowest, rank, shared, height)
+            if pace * moved > self._gain + price:
+                height = peak - self._gain - price
+                self._move(expert, slowest, rank, moved, height)
+
+    def _share(self, expert, slowest, rank, shared, height):
+        """Try the steps after which both ranks hold an expert."""
+        load = self._loads[rank] + self._paces[rank] * shared
+        if len(self._held[rank]) < self._places:
+            if load < height:
+                self._try(((rank, expert, None),))
+            return
+        for other in self._held[rank]:
+            if len(self._holders[other]) == 1:
+                continue
+            if load - self._load_of(other, rank) < height:
+                self._try(((rank, expert, other),))
+
+    def _move(self, expert, slowest, rank, moved, height):
+        """Try the steps after which the slowest rank holds an expert less."""
+        leave = (slowest, None, expert)
+        load = self._loads[rank] + self._paces[rank] * moved
         if len(self._held[rank]) < self._places:
-            yield ((*added, None),)
-            yield ((*added, None), (slowest, None, expert))
+            if load < height:
+                self._try(((rank, expert, None), leave))
             return
         for other in self._held[rank]:
+            if load - self._load_of(other, rank) >= height:
+                continue
             if len(self._holders[other]) > 1:
-                yield ((*added, other),)
-                yield ((*added, other), (slowest, None, expert))
+                self._try(((rank, expert, other), leave))
             elif other not in self._held[slowest] and self._may_add(
                 slowest, other
             ):
-                yield ((*added, other), (slowest, other, expert))
+                self._try(((rank, expert, other), (slowest, other, expert)))
+
+    def _load_of(self, expert, rank):
+        """Return the part of a rank's load that an expert makes up."""
+        share = self._demand[expert] / len(self._holders[expert])
+        return self._paces[rank] * share
+
+    def _try(self, step):
+        """Choose a step if it gains more than those before."""
+        peak = max(self._loads)
+        height = self._height_after(step, peak)
+        gain = peak - height - self._price * self._count_copies(step)
+        if gain > self._gain:
+            self._gain, self._chosen = gain, step
+
+    def _count_copies(self, step):
+        return sum(
+            added is not None and added not in self._present[rank]
+            for rank, added, _ in step
+        )
 
     def _may_add(self, rank, expert):
         present = self._present[rank]
