Leave out entries of targets whose address has a new owner

Cause: a target that dies stays published for three of its heartbeats. Entries sent 92 tries to dead ones, were told 421 by the successors, and refused 40 requests of callers who mostly had no further try.

Ruled out: the order of the store's pages (both entries stood in one), and the pause after a 421, which is per target and found the next dead one.

Of the targets at one address only the one whose entry is the newest stays (placement.addresses).

--- a/packages/savoryyoke-gateway/savoryyoke_gateway/knowledge.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/knowledge.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from savoryyoke.placement import addresses
 from savoryyoke.published import view
 
 from savoryyoke_edge import logs
@@ -75,7 +76,9 @@
         before = self.publication
         catalogue = self._choose_catalogue(publication.catalogue)
         self.publication = dataclasses.replace(
-            publication, catalogue=catalogue
+            publication,
+            catalogue=catalogue,
+            targets=addresses.drop_replaced(publication.targets),
         )
         self._log_faults(publication.faults)
         self._log_changes(before, source)
--- a/packages/savoryyoke/savoryyoke/placement/models.py
+++ b/packages/savoryyoke/savoryyoke/placement/models.py
@@ -8,7 +8,8 @@
 class Target:
     """Describe one incarnation of a target.
 
-    ``incarnation`` changes with each start of the target's process.
+    ``incarnation`` changes with each start of the target's process, and
+    ``revision`` is that of its published entry.
     ``is_in_service`` is false while it can't run anything, such as a rank
     of a group that is not complete.
     """
@@ -23,6 +24,7 @@
     slots: int
     is_draining: bool
     is_in_service: bool
+    revision: int = 0
 
 
 class TryResult(enum.Enum):
