Take seeds and grace over on SIGHUP

Cause: SIGHUP was logged and nothing else; entries kept the seeds of their start, and a newly seeded entry could miss the others for good.

An entry reads its settings file anew, takes over seeds and the time to stop, logs settings_reloaded with what changed and what needs a restart, and keeps all as it is when the file can't be used (reload_refused). Retry limits need a restart: what has been spent of the old ones is not known to the new.

Ruled out: watching the file, which needs polling; nothing tells that it changes without a signal in a way that matters here.

--- a/packages/savoryyoke-gateway/savoryyoke_gateway/daemon.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/daemon.py
@@ -13,11 +13,13 @@
 from savoryyoke_gateway import application
 from savoryyoke_gateway import conf
 from savoryyoke_gateway import dispatching
+from savoryyoke_gateway import exceptions
 from savoryyoke_gateway import following
 from savoryyoke_gateway import forwarder
 from savoryyoke_gateway import knowledge
 from savoryyoke_gateway import metrics
 from savoryyoke_gateway import peering
+from savoryyoke_gateway import reloading
 from savoryyoke_gateway import retrying
 from savoryyoke_gateway import serving
 from savoryyoke_gateway import stopping
@@ -34,7 +36,8 @@
     exchange with the other entries.
 
     ``settings`` is a ``ports.GatewaySettings``; ``source``, ``interpreter``
-    and ``translator`` are described in ``ports``.
+    and ``translator`` are described in ``ports``. ``read_settings()`` returns
+    the settings anew or raises ``SettingsUnusable``.
     """
 
     def __init__(
@@ -44,11 +47,13 @@
         source,
         interpreter,
         translator,
+        read_settings,
         clock=time.monotonic,
         random_source=None,
     ):
         draw = (random_source or random.SystemRandom()).random
         self._settings = settings
+        self._read_settings = read_settings
         self._clock = clock
         self._idle_limit = serving.IdleLimit(timeout_s=_IDLE_TIMEOUT_S)
         self._metrics = metrics.GatewayMetrics(
@@ -105,6 +110,25 @@
         """Begin a planned stop."""
         self._stopping.begin()
 
+    def reload(self):
+        """Read the settings anew and put in force what may change."""
+        try:
+            offered = self._read_settings()
+        except exceptions.SettingsUnusable as error:
+            logs.write_event(
+                'reload_refused', level='warning', reason=str(error)
+            )
+            return
+        reload = reloading.plan_reload(self._settings, offered)
+        self._settings = reload.settings
+        self._stopping.set_grace(reload.settings.grace_s)
+        self.peering.table.set_seeds(reload.settings.seed_hosts)
+        logs.write_event(
+            'settings_reloaded',
+            changed=','.join(reload.changed),
+            needs_restart=','.join(reload.needs_restart),
+        )
+
     def directory_addresses(self):
         """Return the addresses of the entries that take requests."""
         addresses = self.peering.serving_addresses()
@@ -205,7 +229,9 @@
         ) as signals:
             async for received in signals:
                 logs.write_event('signal_received', signal=received.name)
-                if received is not signal.SIGHUP:
+                if received is signal.SIGHUP:
+                    self.reload()
+                else:
                     self.stop()
 
     def _register_gauges(self):
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/exceptions.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/exceptions.py
@@ -22,3 +22,7 @@
 
 class MalformedRequest(GatewayError):
     """Report a caller's request that can't be understood."""
+
+
+class SettingsUnusable(GatewayError):
+    """Report settings that can't be put in force."""
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/stopping.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/stopping.py
@@ -27,6 +27,10 @@
         """Return whether the process is to stop."""
         return self._begun_s is not None
 
+    def set_grace(self, grace_s):
+        """Change the time between the signal to stop and the kill."""
+        self._grace_s = grace_s
+
     def begin(self):
         """Start the stop; later calls change nothing."""
         if self._begun_s is None:
--- /dev/null
+++ b/packages/savoryyoke-gateway/tests/test_reloading.py
@@ -0,0 +1,47 @@
+"""Test which settings a running entry takes over."""
+
+import dataclasses
+import unittest
+
+from savoryyoke_gateway import ports
+from savoryyoke_gateway import reloading
+
+ADDRESS = ports.Address(host='127.0.0.1', port=80)
+SETTINGS = ports.GatewaySettings(
+    vm_id='edge-1',
+    data_centre='dc-a',
+    caller_address=ADDRESS,
+    directory_address=ADDRESS,
+    ready_address=ADDRESS,
+    metrics_address=ADDRESS,
+    peer_host='127.0.0.1',
+    peer_port=7000,
+    pace_port=7001,
+    seed_hosts=('10.0.0.1',),
+    grace_s=8.0,
+    retry_ratio=0.2,
+    retry_slack=92.0,
+)
+
+
+class PlanReloadTests(unittest.TestCase):
+    def plan(self, **changes):
+        offered = dataclasses.replace(SETTINGS, **changes)
+        return reloading.plan_reload(SETTINGS, offered)
+
+    def test_nothing_changed(self):
+        plan = self.plan()
+        self.assertEqual(SETTINGS, plan.settings)
+        self.assertEqual(((), ()), (plan.changed, plan.needs_restart))
+
+    def test_seeds_and_grace_are_taken_over(self):
+        plan = self.plan(seed_hosts=('10.0.0.2',), grace_s=4.0)
+        self.assertEqual(('10.0.0.2',), plan.settings.seed_hosts)
+        self.assertEqual(4.0, plan.settings.grace_s)
+        self.assertEqual({'seed_hosts', 'grace_s'}, set(plan.changed))
+        self.assertEqual((), plan.needs_restart)
+
+    def test_the_rest_is_named_and_stays(self):
+        plan = self.plan(peer_port=7002, retry_slack=10.0)
+        self.assertEqual(SETTINGS, plan.settings)
+        self.assertEqual({'peer_port', 'retry_slack'}, set(plan.needs_restart))
--- a/packages/savoryyoke/savoryyoke/peers/table.py
+++ b/packages/savoryyoke/savoryyoke/peers/table.py
@@ -19,7 +19,7 @@
     def __init__(self, *, own_id, own_host, seed_hosts):
         self._own_id = own_id
         self._own_host = own_host
-        self._seed_hosts = frozenset(seed_hosts) - {own_host}
+        self.set_seeds(seed_hosts)
         self._peers_by_id = {}
         self._contacts_seen_s = {}
         self._most_alive = 0
@@ -33,6 +33,10 @@
         """
         return self._most_alive + 1
 
+    def set_seeds(self, seed_hosts):
+        """Take over the hosts that are always contacted."""
+        self._seed_hosts = frozenset(seed_hosts) - {self._own_host}
+
     def receive(self, heartbeat, *, now_s):
         """Take in a heartbeat; return whether it was newer than known."""
         if heartbeat.sender_id == self._own_id:
