Refuse late requests at once while no target is in service

Cause: since they wait for a group that forms, late requests start first when it opens, and those that could still be in time queue behind their prompts.

--- a/packages/savoryyoke/savoryyoke/placement/dispatcher.py
+++ b/packages/savoryyoke/savoryyoke/placement/dispatcher.py
@@ -29,10 +29,6 @@
     once. Above that, those that can still be on time go first, and a
     request whose turn is not expected within its wait is refused on
     arrival, with a time to return that spreads callers out.
-
-    While no target is in service, such as a group of engines that forms
-    anew, requests that can be on time on their return are refused at once;
-    those that are late already wait.
     """
 
     def __init__(self, *, pool, draw):
@@ -106,7 +102,7 @@
     @_apply.register
     def _(self, event: events.RequestArrived, now_s):
         if not self._pool.serves(regions=event.regions):
-            return self._wait_for_service(event, now_s)
+            return [self._refuse(event, _Reason.NO_TARGET)]
         waiting = self._enqueue(event, now_s)
         made = self._pump(now_s)
         if waiting in self._queue and self._is_hopeless(waiting, now_s):
@@ -114,12 +110,6 @@
             made.append(self._refuse(event, _Reason.QUEUE_TOO_LONG))
         return made
 
-    def _wait_for_service(self, event, now_s):
-        if event.is_on_time or not self._pool.lists(regions=event.regions):
-            return [self._refuse(event, _Reason.NO_TARGET)]
-        self._enqueue(event, now_s)
-        return ()
-
     def _enqueue(self, event, now_s):
         self._sequence += 1
         rank = (not event.is_on_time, event.priority, self._sequence)
--- a/packages/savoryyoke/tests/placement/test_dispatcher.py
+++ b/packages/savoryyoke/tests/placement/test_dispatcher.py
@@ -288,27 +288,6 @@
 
 
 class NoTargetTests(DispatcherCase):
-    def test_late_request_waits_for_targets_that_are_listed(self):
-        self.publish(build_target(1, is_in_service=False))
-        self.assertEqual((), self.arrive('r', is_on_time=False))
-        made = self.publish(build_target(1), now_s=0.1)
-        self.assertEqual({'r': 't1'}, self.placed(made))
-
-    def test_late_request_is_refused_when_no_target_came(self):
-        self.publish(build_target(1, is_in_service=False))
-        self.arrive('r', is_on_time=False)
-        made = self.apply(events.Ticked(), now_s=0.2)
-        self.assertEqual(
-            {'r': models.RefusalReason.WAITED_TOO_LONG}, self.refused(made)
-        )
-
-    def test_late_request_is_refused_where_no_target_may_come(self):
-        self.publish(build_target(1, is_in_service=False, is_draining=True))
-        made = self.arrive('r', is_on_time=False)
-        self.assertEqual(
-            {'r': models.RefusalReason.NO_TARGET}, self.refused(made)
-        )
-
     def test_refused_at_once(self):
         self.publish(build_target(1, is_in_service=False))
         made = self.arrive('r')
