Treat an event without an end as a broken try

The fault is now one of the exchange, like a torn event: the stream goes on at another target after the last whole event, within the attempts.

Test: test_path.StreamTests with a stand-in that sends an endless event; it failed before.

--- a/packages/savoryyoke-fakes/savoryyoke_fakes/deployment/replica.py
+++ b/packages/savoryyoke-fakes/savoryyoke_fakes/deployment/replica.py
@@ -32,6 +32,7 @@
     TORN_EVENT = 'torn-event'
     TORN_EVENT_ENDED = 'torn-event-ended'
     SLOW_EVENTS = 'slow-events'
+    ENDLESS_EVENT = 'endless-event'
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -140,12 +141,23 @@
             if torn and number > half:
                 await connection.send_chunk(event[:9])
                 break
+            if oddity is Oddity.ENDLESS_EVENT and number > half:
+                await self._send_endless_event(connection)
+                return
             await connection.send_chunk(event)
         if oddity is Oddity.TORN_EVENT:
             await connection.reset()
             return
         await connection.send_chunk(b'')
 
+    async def _send_endless_event(self, connection):
+        """Send one event without its end until the caller leaves."""
+        try:
+            while True:
+                await connection.send_chunk(b'data: ' + b'x' * 65536)
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+            return
+
     async def _pause(self, connection, run):
         """Wait before an event; note a caller that leaves meanwhile."""
         with anyio.move_on_after(0.3):
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/tries.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/tries.py
@@ -2,6 +2,7 @@
 
 from savoryyoke.forwarding import decisions
 from savoryyoke.forwarding import events
+from savoryyoke.forwarding import exceptions as forwarding_exceptions
 from savoryyoke.forwarding import framing
 from savoryyoke.placement import events as placement_events
 from savoryyoke.placement import models as placement_models
@@ -161,7 +162,7 @@
         """Pass whole events on as they come; return what follows the end."""
         splitter = framing.EventSplitter(after=resume_after)
         async for part in exchange.read():
-            whole = splitter.feed(part)
+            whole = _split(splitter, part)
             if whole:
                 await self._pass_on(call, target, head, whole)
                 move = self._choose_move(call, target, attempt)
@@ -223,3 +224,11 @@
             ),
         )
         self._reporter.note_try(call, target, attempt)
+
+
+def _split(splitter, part):
+    """Return the events that ``part`` completes; raise ``ExchangeBroken``."""
+    try:
+        return splitter.feed(part)
+    except forwarding_exceptions.MalformedStream as error:
+        raise exceptions.ExchangeBroken('malformed') from error
