End the change under way before the leader of a group stops

Cause: an agent left at once on SIGTERM. If it led a change and held its group before a pass, the group stood still until another agent was elected, 0.5 s and more.

Test: test_daemon.GroupTests.test_leader_that_stops_leaves_no_hold stops the leader as it holds; without the wait the hold stays (seen to fail).

--- a/packages/savoryyoke-agent/savoryyoke_agent/conf.py
+++ b/packages/savoryyoke-agent/savoryyoke_agent/conf.py
@@ -24,5 +24,9 @@
 SLOW_PACE = 1.3
 PACE_REPORT_S = 0.3
 
+# A leader that stops ends the change under way first; one takes below half a
+# second, and the platform kills a process only seconds after the signal.
+STOP_CHANGE_S = 2.0
+
 # The pace of passes is taken over this time.
 PACE_WINDOW_S = 1.0
--- a/packages/savoryyoke-agent/savoryyoke_agent/daemon.py
+++ b/packages/savoryyoke-agent/savoryyoke_agent/daemon.py
@@ -59,6 +59,7 @@
             receive=self.receive,
         )
         self._outbox = []
+        self._stopped = anyio.Event()
 
     async def run(self):
         """Run until stopped by a signal."""
@@ -77,18 +78,32 @@
             tasks.start_soon(self._learn_members)
             tasks.start_soon(self._plan)
             tasks.start_soon(self._report_pace)
-            await self._wait_for_stop()
+            tasks.start_soon(self._watch_signals)
+            await self._stopped.wait()
+            await self._end_change()
             tasks.cancel_scope.cancel()
         logs.write_event('stopped', vm=self._settings.vm_id)
 
-    async def _wait_for_stop(self):
+    def stop(self):
+        """Begin a planned stop."""
+        self._stopped.set()
+
+    async def _end_change(self):
+        """Return when this process leads no change that holds its group."""
+        with anyio.move_on_after(conf.STOP_CHANGE_S):
+            while self._leader is not None and (
+                self._leader.phase not in (_Phase.IDLE, _Phase.LEARN)
+            ):
+                await anyio.sleep(conf.OBSERVE_CHANGING_S)
+
+    async def _watch_signals(self):
         with anyio.open_signal_receiver(
             signal.SIGTERM, signal.SIGINT, signal.SIGHUP
         ) as signals:
             async for received in signals:
                 logs.write_event('signal_received', signal=received.name)
                 if received is not signal.SIGHUP:
-                    return
+                    self.stop()
 
     async def _work(self):
         """Observe, order, report and lead, again and again."""
@@ -379,6 +394,8 @@
             current = self._leader
             if current is None or current.phase is not _Phase.IDLE:
                 continue
+            if self._stopped.is_set():
+                continue
             if not current.is_complete(now_s=self._clock()):
                 continue
             state = self._agent.state
--- a/packages/savoryyoke-agent/tests/support.py
+++ b/packages/savoryyoke-agent/tests/support.py
@@ -24,9 +24,13 @@
 
 
 class Group:
-    """Run passes on all ranks at once; note those on different maps."""
+    """Run passes on all ranks at once; note those on different maps.
+
+    ``on_hold(rank)`` is called when a rank is ordered to hold the group.
+    """
 
     def __init__(self):
+        self.on_hold = lambda rank: None
         self.step = 0
         self.active = [0] * RANKS
         self.prepared = [None] * RANKS
@@ -93,6 +97,7 @@
                 if step <= self.step:
                     return events.OrderResult.REFUSED
                 self.held[rank] = step
+                self.on_hold(rank)
             case decisions.Go():
                 self.held[rank] = None
         return events.OrderResult.DONE
--- a/packages/savoryyoke-agent/tests/test_daemon.py
+++ b/packages/savoryyoke-agent/tests/test_daemon.py
@@ -17,6 +17,9 @@
 
 
 class GroupTests(unittest.TestCase):
+    def setUp(self):
+        self.daemons = {}
+
     def run_group(self, scenario):
         async def main():
             group = support.Group()
@@ -27,8 +30,10 @@
                 daemon = support.build_daemon(
                     group=group, rank=rank, port=port
                 )
+                self.daemons[rank] = daemon
                 with anyio.CancelScope() as scopes[rank]:
                     await daemon.run()
+                del self.daemons[rank]
 
             async with anyio.create_task_group() as tasks:
 
@@ -68,6 +73,22 @@
 
         self.run_group(scenario)
 
+    def test_leader_that_stops_leaves_no_hold(self):
+        async def scenario(group, scopes, start):
+            stopped = []
+
+            def stop(rank):
+                self.daemons[rank].stop()
+                stopped.append(rank)
+
+            group.on_hold = stop
+            await wait_until(lambda: stopped)
+            await wait_until(lambda: stopped[0] not in self.daemons)
+            self.assertFalse(any(group.held))
+            self.assertTrue(all(group.active))
+
+        self.run_group(scenario)
+
     def test_another_leader_takes_over(self):
         async def scenario(group, scopes, start):
             await wait_until(lambda: all(group.active))
