--- a/tools/measure/__main__.py
+++ b/tools/measure/__main__.py
@@ -24,6 +24,7 @@
     ('ledger_costs',),
     ('configuration_file',),
     ('expert_maps',),
+    ('expert_demand',),
 )
 
 
