--- a/tools/measure/configuration_file.py
+++ b/tools/measure/configuration_file.py
@@ -14,7 +14,6 @@
 
 from savoryyoke.configuration import conf
 from savoryyoke.configuration import documents
-from savoryyoke.configuration import state
 
 ROUNDS = 15
 TEAMS_COUNTS = (10, 550, 1100, 2200)
@@ -88,17 +87,14 @@
 
 
 def measure_memory(text):
-    """Return the bytes that the accepted state of ``text`` holds."""
+    """Return the bytes that the accepted configuration of ``text`` holds."""
     gc.collect()
     tracemalloc.start()
-    held = state.ConfigurationState()
-    offered = state.DocumentOffered(
-        base_text=text, overlay_text='', base_revision=1, overlay_revision=1
-    )
-    held.apply(offered, now_s=0.0)
+    held = documents.build(text)
     gc.collect()
     size_bytes, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
+    del held
     return size_bytes
 
 
