Call a process's suspicion of itself by that name

The usual terms are suspicion and local health: is_suspect, SelfSuspected, the event self_suspected and the field self_suspected of the status.

Ruled out: "in doubt" of calls whose outcome is not known, which is the term of transaction processing, stays.

--- a/packages/savoryyoke-edge/savoryyoke_edge/control/plane.py
+++ b/packages/savoryyoke-edge/savoryyoke_edge/control/plane.py
@@ -69,9 +69,9 @@
         return self._gossip.membership
 
     @property
-    def is_doubting(self):
+    def is_suspect(self):
         """Tell whether this process cannot trust its own view."""
-        return self._gossip is None or self.membership.is_doubting
+        return self._gossip is None or self.membership.is_suspect
 
     @property
     def sent_bytes(self):
@@ -284,9 +284,9 @@
         )
 
     @_carry_out.register
-    def _(self, decision: membership_decisions.SelfDoubted):
+    def _(self, decision: membership_decisions.SelfSuspected):
         logs.write_event(
-            'self_doubted', level='warning', reason=decision.reason
+            'self_suspected', level='warning', reason=decision.reason
         )
 
     @_carry_out.register
--- a/packages/savoryyoke-entry/savoryyoke_entry/daemon.py
+++ b/packages/savoryyoke-entry/savoryyoke_entry/daemon.py
@@ -65,7 +65,7 @@
         return (
             self._table is not None
             and self._plane.vm_list is not None
-            and not self._plane.is_doubting
+            and not self._plane.is_suspect
             and not self._draining
             and self.fleet.links_up > 0
         )
@@ -89,7 +89,7 @@
             'targets_connected': self.fleet.links_up,
             'targets_known': self.fleet.links_wanted,
             'members': len(self._plane.membership.members()),
-            'doubting': self._plane.is_doubting,
+            'self_suspected': self._plane.is_suspect,
             **plane.describe_configuration(self._plane),
         }
 
--- a/packages/savoryyoke-entry/savoryyoke_entry/directories.py
+++ b/packages/savoryyoke-entry/savoryyoke_entry/directories.py
@@ -82,7 +82,7 @@
             member = members.get(entry_id)
             if member is None or not member.incarnation:
                 continue
-            self._hear(row, member, is_trusted=not membership.is_doubting)
+            self._hear(row, member, is_trusted=not membership.is_suspect)
         self._feed(
             events.TargetsHeard(
                 heard=self._fleet.count_heard(conf.TARGET_SILENCE_S),
@@ -94,7 +94,7 @@
             logs.write_event('contact_changed', cut_off=reason)
 
     def _hear(self, row, member, *, is_trusted):
-        """Pass on what membership says, unless it doubts itself.
+        """Pass on what membership says, unless it suspects itself.
 
         In a large fleet each entry hears each other one but rarely, so it
         is membership that knows who is alive.
--- a/packages/savoryyoke-target/savoryyoke_target/daemon.py
+++ b/packages/savoryyoke-target/savoryyoke_target/daemon.py
@@ -84,7 +84,7 @@
             'cold': load.cold,
             'records': self._ledger.record_count,
             'members': len(self._plane.membership.members()),
-            'doubting': self._plane.is_doubting,
+            'self_suspected': self._plane.is_suspect,
             **plane.describe_configuration(self._plane),
         }
 
--- a/packages/savoryyoke/savoryyoke/directory/decisions.py
+++ b/packages/savoryyoke/savoryyoke/directory/decisions.py
@@ -26,7 +26,7 @@
 
 
 class CutOffReason(enum.Enum):
-    """Tell why an entry doubts what it knows."""
+    """Tell why an entry can't rely on its view."""
 
     PAUSED = 'paused'
     NO_TARGETS = 'no_targets'
--- a/packages/savoryyoke/savoryyoke/directory/directory.py
+++ b/packages/savoryyoke/savoryyoke/directory/directory.py
@@ -29,7 +29,7 @@
         self._view = None
 
     def answer(self, caller, now_s, *, bindings_by_service=None):
-        """Return an `Answer`, or `CutOff` where this entry doubts itself.
+        """Return an `Answer`, or `CutOff` where this entry suspects itself.
 
         ``bindings_by_service`` are the routers' bindings; the answer lives
         no longer than the shortest of them.
--- a/packages/savoryyoke/savoryyoke/membership/aggregate.py
+++ b/packages/savoryyoke/savoryyoke/membership/aggregate.py
@@ -24,7 +24,7 @@
 
     ``incarnation`` is a random non-zero 64-bit number that the process drew
     at its start. ``generator`` is a seeded ``numpy.random.Generator``. Until
-    other members have answered, the process doubts itself: it declares
+    other members have answered, the process suspects itself: it declares
     nobody failed.
     """
 
@@ -72,9 +72,9 @@
         self._is_joining = True
 
     @property
-    def is_doubting(self):
+    def is_suspect(self):
         """Return whether this process cannot trust its own view."""
-        return self._health.is_doubting
+        return self._health.is_suspect
 
     @property
     def record(self):
@@ -128,12 +128,12 @@
     def _(self, event: events.Ticked, *, now_s):
         made = self._find_gap(now_s, is_tick=True)
         self._ticks += 1
-        if not self._health.is_doubting:
+        if not self._health.is_suspect:
             made.extend(self._find_silence(now_s))
         made.extend(self._report_unreached(now_s))
         made.extend(self._fail_probes(now_s))
         made.extend(self._ask_relays(now_s))
-        if not self._health.is_doubting:
+        if not self._health.is_suspect:
             made.extend(self._roster.expire(now_s=now_s, health=self._health))
         made.extend(self._probe_all(self._schedule.choose_next(), now_s))
         if self._ticks % self._settings.failed_probe_ticks == 0:
@@ -172,7 +172,7 @@
         # Answers that waited in a buffer while this process did not run
         # say nothing about now.
         self._ledger.discard()
-        made = self._doubt('paused', now_s)
+        made = self._suspect('paused', now_s)
         chosen = self._schedule.choose_refresh(self._roster.suspected_ids())
         made.extend(self._probe_all(chosen, now_s))
         return made
@@ -181,15 +181,15 @@
         has_peers = self._roster.table.reachable_count > 0
         if not has_peers or not self._health.find_silence(now_s=now_s):
             return []
-        return self._doubt('isolated', now_s)
+        return self._suspect('isolated', now_s)
 
-    def _doubt(self, reason, now_s):
-        was_doubting = self._health.is_doubting
-        self._health.doubt()
+    def _suspect(self, reason, now_s):
+        was_suspect = self._health.is_suspect
+        self._health.suspect()
         self._roster.extend_all(now_s=now_s, health=self._health)
-        if was_doubting:
+        if was_suspect:
             return []
-        return [decisions.SelfDoubted(reason=reason)]
+        return [decisions.SelfSuspected(reason=reason)]
 
     def _confirm(self, now_s):
         peers = self._roster.table.reachable_count
@@ -305,7 +305,7 @@
         for probe, is_unheard in failed:
             if is_unheard:
                 self._health.worsen()
-            if self._health.is_doubting:
+            if self._health.is_suspect:
                 continue
             vm_id = probe.subject_id
             suspected = self._roster.suspect(
--- a/packages/savoryyoke/savoryyoke/membership/conf.py
+++ b/packages/savoryyoke/savoryyoke/membership/conf.py
@@ -14,7 +14,7 @@
     has no answer either. ``suspicion_s`` is the time that a suspected member
     has to refute. The timeouts grow with the local health score, which is
     at most ``health_limit``. A gap between own ticks above ``tick_gap_s``, or
-    no acknowledgement for ``silence_s``, makes the process doubt itself
+    no acknowledgement for ``silence_s``, makes the process suspect itself
     until ``confirmations`` distinct members have answered.
     """
 
--- a/packages/savoryyoke/savoryyoke/membership/decisions.py
+++ b/packages/savoryyoke/savoryyoke/membership/decisions.py
@@ -62,7 +62,7 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class SelfDoubted:
+class SelfSuspected:
     """Report that this process cannot trust its own view."""
 
     reason: str
--- a/packages/savoryyoke/savoryyoke/membership/health.py
+++ b/packages/savoryyoke/savoryyoke/membership/health.py
@@ -2,7 +2,7 @@
 
 
 class LocalHealth:
-    """Score the local process and hold whether it doubts itself.
+    """Score the local process and hold whether it suspects itself.
 
     The score grows with probes that nobody answered and with suspicions of
     this process that it had to refute; it shrinks with each answer in time.
@@ -14,7 +14,7 @@
         self._last_tick_s = None
         self._last_ack_s = None
         self._fresh_ids = set()
-        self.is_doubting = True
+        self.is_suspect = True
 
     @property
     def factor(self):
@@ -42,26 +42,26 @@
             self._last_ack_s = now_s
         return now_s - self._last_ack_s > self._settings.silence_s
 
-    def doubt(self):
-        """Start doubting; answers from before count no more."""
-        self.is_doubting = True
+    def suspect(self):
+        """Suspect this process; answers from before count no more."""
+        self.is_suspect = True
         self._fresh_ids.clear()
 
     def acknowledge(self, *, vm_id, now_s):
         """Count an answer to a probe that is still open."""
         self._last_ack_s = now_s
         self._score = max(self._score - 1, 0)
-        if self.is_doubting:
+        if self.is_suspect:
             self._fresh_ids.add(vm_id)
 
     def confirm(self, *, peers, now_s):
-        """Stop doubting if enough members answered; return whether so.
+        """Trust this process again if enough members answered; return so.
 
         ``peers`` is the number of members that could answer.
         """
         needed = min(self._settings.confirmations, peers)
-        if not self.is_doubting or len(self._fresh_ids) < needed:
+        if not self.is_suspect or len(self._fresh_ids) < needed:
             return False
-        self.is_doubting = False
+        self.is_suspect = False
         self._last_ack_s = now_s
         return True
--- a/packages/savoryyoke/savoryyoke/membership/probes.py
+++ b/packages/savoryyoke/savoryyoke/membership/probes.py
@@ -85,7 +85,7 @@
         """Remove the probes sent before a time.
 
         Return pairs of the probe and of whether relays were asked and all
-        of them kept silent, which casts doubt on this process.
+        of them kept silent, which makes this process suspect.
         """
         overdue = [
             sequence
--- a/packages/savoryyoke/savoryyoke/membership/roster.py
+++ b/packages/savoryyoke/savoryyoke/membership/roster.py
@@ -63,7 +63,7 @@
     def merge(self, update, *, now_s, health):
         """Take in a statement about another member.
 
-        While the local process doubts itself, a failure that others report
+        While the local process suspects itself, a failure that others report
         counts only as a suspicion.
         """
         known = self.table.get(update.vm_id)
@@ -75,7 +75,7 @@
             return ()
         else:
             update = _complete(update, known)
-        if health.is_doubting and update.state == MemberState.FAILED:
+        if health.is_suspect and update.state == MemberState.FAILED:
             update = dataclasses.replace(update, state=MemberState.SUSPECT)
             if known is not None and (
                 update.precedence() <= known.precedence()
--- a/packages/savoryyoke/savoryyoke/propagation/platform_reads.py
+++ b/packages/savoryyoke/savoryyoke/propagation/platform_reads.py
@@ -18,7 +18,7 @@
 
     Calls are spaced by a fixed time from a start that depends on the name
     of the process, so that the sum over a fleet has a bound whatever its
-    processes believe of each other.
+    processes know of each other.
     """
 
     def __init__(self, *, vm_id, role, data_centre, settings):
--- a/packages/savoryyoke/savoryyoke/routing/router.py
+++ b/packages/savoryyoke/savoryyoke/routing/router.py
@@ -64,7 +64,7 @@
         """Return the target in whose queue a request waits least.
 
         It is for a request that `choose` has found no room for and that has
-        waited for room. What the entry believes of limits is left aside: the
+        waited for room. What the entry knows of limits is left aside: the
         target's own admission keeps to them, queues the call or refuses it.
         """
         return self._make_chooser(now_s).choose_queue(request)
--- a/packages/savoryyoke/tests/directory/test_directory.py
+++ b/packages/savoryyoke/tests/directory/test_directory.py
@@ -250,7 +250,7 @@
         self.assertEqual(3, len(answer.alternatives))
 
     def test_silence_of_the_fleet_cuts_off(self):
-        """Doubt oneself when few entries and few targets are heard."""
+        """Suspect oneself when few entries and few targets are heard."""
         known = make_directory()
         hear_all(known, now_s=1.0)
         for step in range(2, 9):
--- a/packages/savoryyoke/tests/membership/test_failure_detection.py
+++ b/packages/savoryyoke/tests/membership/test_failure_detection.py
@@ -128,7 +128,7 @@
             with self.subTest(seed=seed):
                 fleet = self.wake_with_an_old_suspicion(None, seed)
                 log = [made for _, made in fleet.logs_by_id['entry-1']]
-                self.assertIn(decisions.SelfDoubted(reason='paused'), log)
+                self.assertIn(decisions.SelfSuspected(reason='paused'), log)
                 self.assertIn(decisions.SelfConfirmed(), log)
                 self.assertFalse(
                     [d for d in log if isinstance(d, decisions.MemberFailed)]
@@ -203,8 +203,8 @@
             with self.subTest(cannot=name):
                 fleet = self.isolate(direction)
                 log = [made for _, made in fleet.logs_by_id['entry-2']]
-                self.assertIn(decisions.SelfDoubted(reason='isolated'), log)
-                self.assertTrue(fleet.members_by_id['entry-2'].is_doubting)
+                self.assertIn(decisions.SelfSuspected(reason='isolated'), log)
+                self.assertTrue(fleet.members_by_id['entry-2'].is_suspect)
                 failed = fleet.found(decisions.MemberFailed)
                 self.assertEqual(
                     {decision.vm_id for _, _, decision in failed},
@@ -212,7 +212,7 @@
                 )
                 self.assertEqual(len(failed), 22)
 
-    def test_catches_a_member_that_never_doubts_itself(self):
+    def test_catches_a_member_that_never_suspects_itself(self):
         fleet = self.isolate(1, kind=WithoutSilenceDetection)
         failed = fleet.found(decisions.MemberFailed)
         self.assertGreater(len({d.vm_id for _, _, d in failed}), 1)
@@ -233,7 +233,7 @@
     def test_regions_that_lost_each_other_meet_again(self):
         fleet, failed = self.split()
         self.assertEqual(len(failed), 2 * 39 * 41)
-        self.assertEqual(fleet.found(decisions.SelfDoubted), [])
+        self.assertEqual(fleet.found(decisions.SelfSuspected), [])
         self.assertEqual(not_alive(fleet), [])
 
     def test_catches_members_that_refute_nothing(self):
--- a/packages/savoryyoke/tests/membership/test_joining.py
+++ b/packages/savoryyoke/tests/membership/test_joining.py
@@ -24,4 +24,4 @@
         joined = fleet.members_by_id[JOINED]
         known = {member.vm_id for member in joined.members()}
         self.assertEqual(set(fleet.vms_by_id) - {JOINED}, known)
-        self.assertFalse(joined.is_doubting)
+        self.assertFalse(joined.is_suspect)
