Let the refusal of one team keep no other team away

Ruled out: the target's own admission (its queue is fair, and such a refusal carries the target's reason); a full queue (24 of 64).

Two tests play both cases without processes; both fail on the old code (the second with the refusal seen, retry_after_s=32). Now holds are per team, and whether a team's wait in a queue is too long is left to the target.

--- a/packages/savoryyoke-entry/savoryyoke_entry/relays.py
+++ b/packages/savoryyoke-entry/savoryyoke_entry/relays.py
@@ -193,6 +193,7 @@
                 target_id=choice.target_id,
                 cost=1.0,
                 priority=self._request.priority,
+                team=self._request.team_name,
                 prefix_digests=self._request.prefix_digests,
             )
         )
--- a/packages/savoryyoke/savoryyoke/routing/bindings.py
+++ b/packages/savoryyoke/savoryyoke/routing/bindings.py
@@ -37,7 +37,7 @@
     Room in the queue counts for little, so that it is used last.
     """
     bounds = settings.occupancy_limits
-    if state.is_held(priority=len(bounds) - 1, now_s=now_s):
+    if state.is_held_for_any(priority=len(bounds) - 1, now_s=now_s):
         return 0.0
     quota = state.get_quota(now_s=now_s)
     if quota is not None and state.own_calls >= quota:
--- a/packages/savoryyoke/savoryyoke/routing/calls.py
+++ b/packages/savoryyoke/savoryyoke/routing/calls.py
@@ -10,6 +10,7 @@
     target_id: str
     incarnation: int
     priority: int
+    team: str
     digests: tuple[bytes, ...]
     matched: int
     foreseen_wait_s: float
@@ -25,6 +26,7 @@
         target_id=state.target_id,
         incarnation=state.incarnation,
         priority=dispatched.priority,
+        team=dispatched.team,
         digests=digests,
         matched=beliefs.count_matched(
             target_id=state.target_id, digests=digests
--- a/packages/savoryyoke/savoryyoke/routing/choices.py
+++ b/packages/savoryyoke/savoryyoke/routing/choices.py
@@ -48,13 +48,19 @@
         """Return the target with the shortest wait, room or not.
 
         Targets that no report has told of, or that have refused such work
-        a moment ago, are left out.
+        a moment ago, are left out. Whether the wait is too long is for the
+        target to say: reports tell of its whole queue, not of a team's
+        place in it.
         """
         waits_s = {
             state.target_id: self._estimate_wait(state)
             for state in self._registry.get_usable()
             if self._may_serve(state, request)
-            and state.may_queue(priority=request.priority, now_s=self._now_s)
+            and state.may_queue(
+                team=request.team,
+                priority=request.priority,
+                now_s=self._now_s,
+            )
         }
         candidates = [
             decisions.Candidate(
@@ -65,7 +71,6 @@
                 reason=decisions.ChoiceReason.QUEUED,
             )
             for target_id, wait_s in waits_s.items()
-            if wait_s <= request.remaining_s
         ]
         if not candidates:
             return self._refuse(request)
@@ -116,6 +121,7 @@
         )
         if not state.has_room(
             load,
+            team=request.team,
             priority=request.priority,
             now_s=self._now_s,
             unproven=self._unproven,
--- a/packages/savoryyoke/savoryyoke/routing/events.py
+++ b/packages/savoryyoke/savoryyoke/routing/events.py
@@ -145,6 +145,7 @@
     target_id: str
     cost: float = 1.0
     priority: int = 1
+    team: str = ''
     prefix_digests: tuple[bytes, ...] = ()
 
 
--- a/packages/savoryyoke/savoryyoke/routing/router.py
+++ b/packages/savoryyoke/savoryyoke/routing/router.py
@@ -301,7 +301,9 @@
         if state is None:
             return ()
         state.end_call(event.call_id)
-        state.record_refusal(event, priority=call.priority, now_s=now_s)
+        state.record_refusal(
+            event, team=call.team, priority=call.priority, now_s=now_s
+        )
         if state.leaving:
             self._refresh()
         return ()
--- a/packages/savoryyoke/savoryyoke/routing/targets.py
+++ b/packages/savoryyoke/savoryyoke/routing/targets.py
@@ -1,5 +1,6 @@
 """Hold what one entry knows about one target."""
 
+import dataclasses
 import math
 
 from savoryyoke.routing import checks
@@ -9,6 +10,18 @@
 from savoryyoke.routing import utils
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Hold:
+    """Keep work up to a priority away until a time."""
+
+    until_s: float
+    priority: int
+
+    def covers(self, priority, now_s):
+        """Tell whether work of a priority is kept away now."""
+        return now_s < self.until_s and priority <= self.priority
+
+
 class TargetState:
     """Track the load, the trust and the health of a target incarnation."""
 
@@ -33,8 +46,7 @@
         self._window = 1
         self._unreflected_by_call_id = {}
         self._unreflected_cost = 0.0
-        self._held_until_s = -math.inf
-        self._held_priority = 0
+        self._holds_by_team = {}
         self._first_token = self._make_mean()
         self._call = self._make_mean()
         self._failures = self._make_mean()
@@ -148,8 +160,12 @@
         """Take a failed call as a sample."""
         self._failures.add(1.0, now_s=now_s)
 
-    def record_refusal(self, refusal, *, priority, now_s):
-        """Keep work of the refused importance away for a while."""
+    def record_refusal(self, refusal, *, team, priority, now_s):
+        """Keep the team's work of that importance away for a while.
+
+        A target shares its room fairly, so that the refusal of one team
+        tells nothing about another.
+        """
         if refusal.reason is events.RefusalReason.LEAVING:
             self.leaving = True
             return
@@ -157,18 +173,37 @@
             self.forget_evidence()
         elif self._window is not None:
             self._window = max(1, self._window // 2)
-        if now_s >= self._held_until_s:
-            self._held_priority = priority
-        else:
-            self._held_priority = max(priority, self._held_priority)
         pause_s = self._settings.hold_off_limit_s
         if 0.0 <= refusal.retry_after_s < pause_s:
             pause_s = refusal.retry_after_s
-        self._held_until_s = max(self._held_until_s, now_s + pause_s)
-
-    def is_held(self, *, priority, now_s):
+        self._hold(team, until_s=now_s + pause_s, priority=priority)
+        self._forget_past_holds(now_s)
+
+    def _hold(self, team, *, until_s, priority):
+        hold = self._holds_by_team.get(team)
+        if hold is not None:
+            until_s = max(until_s, hold.until_s)
+            priority = max(priority, hold.priority)
+        self._holds_by_team[team] = _Hold(until_s=until_s, priority=priority)
+
+    def _forget_past_holds(self, now_s):
+        self._holds_by_team = {
+            team: hold
+            for team, hold in self._holds_by_team.items()
+            if now_s < hold.until_s
+        }
+
+    def is_held(self, *, team, priority, now_s):
         """Return whether a refusal still keeps such work away."""
-        return now_s < self._held_until_s and priority <= self._held_priority
+        hold = self._holds_by_team.get(team)
+        return hold is not None and hold.covers(priority, now_s)
+
+    def is_held_for_any(self, *, priority, now_s):
+        """Return whether a refusal keeps such work of some team away."""
+        return any(
+            hold.covers(priority, now_s)
+            for hold in self._holds_by_team.values()
+        )
 
     @property
     def own_calls(self):
@@ -241,13 +276,13 @@
         age_s = max(0.0, now_s - self.received_at_s)
         return math.exp(-age_s / self._settings.report_decay_s)
 
-    def has_room(self, load, *, priority, now_s, unproven=False):
+    def has_room(self, load, *, team, priority, now_s, unproven=False):
         """Return whether a further call of this importance may be sent.
 
         ``unproven`` also allows what a warm target has not yet been seen
         to bear.
         """
-        if self.is_held(priority=priority, now_s=now_s):
+        if self.is_held(team=team, priority=priority, now_s=now_s):
             return False
         quota = None
         if self.is_cold or not unproven:
@@ -260,9 +295,9 @@
             bound = 1.0
         return load + 1.0 <= bound * self.limit
 
-    def may_queue(self, *, priority, now_s):
+    def may_queue(self, *, team, priority, now_s):
         """Return whether a call may join the queue without room in sight."""
-        is_held = self.is_held(priority=priority, now_s=now_s)
+        is_held = self.is_held(team=team, priority=priority, now_s=now_s)
         return self.report is not None and not is_held
 
     def get_quota(self, *, now_s):
--- a/packages/savoryyoke/tests/routing/test_health.py
+++ b/packages/savoryyoke/tests/routing/test_health.py
@@ -74,6 +74,42 @@
             routed.choose_queue(request, 1.5), decisions.NoTarget
         )
 
+    def test_refusal_of_one_team_keeps_no_other_away(self):
+        routed = support.make_router(targets=1)
+        routed.apply(support.make_report(0), now_s=0.0)
+        large, small = (
+            decisions.Request(service='letters', team=team)
+            for team in ('large', 'small')
+        )
+        target_id = support.make_target_id(0)
+        support.dispatch(routed, 'one', target_id, now_s=0.0, team='large')
+        refusal = events.Refused(
+            call_id='one',
+            target_id=target_id,
+            retry_after_s=1.0,
+            reason=events.RefusalReason.OVERLOADED,
+        )
+        routed.apply(refusal, now_s=0.0)
+        for choose in (routed.choose, routed.choose_queue):
+            with self.subTest(choose=choose.__name__):
+                self.assertIsInstance(choose(large, 0.5), decisions.NoTarget)
+                self.assertIsInstance(choose(small, 0.5), decisions.Chosen)
+                self.assertIsInstance(choose(large, 1.5), decisions.Chosen)
+
+    def test_long_queue_of_others_is_no_reason_to_refuse(self):
+        """Leave it to the target, which knows the place of each team."""
+        routed = support.make_router(targets=1)
+        report = support.make_report(
+            0, running=1, queued=24, limit=1, estimated_wait_s=25.0
+        )
+        routed.apply(report, now_s=0.0)
+        request = decisions.Request(
+            service='letters', team='small', remaining_s=20.0
+        )
+        self.assertIsInstance(routed.choose(request, 0.0), decisions.NoTarget)
+        queued = routed.choose_queue(request, 0.0)
+        self.assertIsInstance(queued, decisions.Chosen)
+
     def test_every_entry_gets_its_turn(self):
         """Let an entry that alone has traffic try a cold target in time."""
         routed = support.make_router(targets=1)
