Let an answer that has begun wait until a target is heard again

The new test freezes the other targets for longer than the silence an entry bears, kills the serving one and thaws them: the answer broke off before, and is whole now. A begun answer now waits, until its deadline, for every reason that passes with the next reports.

Ruled out: the retry budget and the quarantine (one crash, three targets).

--- a/packages/savoryyoke-entry/savoryyoke_entry/relays.py
+++ b/packages/savoryyoke-entry/savoryyoke_entry/relays.py
@@ -108,14 +108,14 @@
         return 'answered'
 
     def _may_wait(self, refusal):
-        """Tell whether to ask again for want of room.
+        """Tell whether to ask again for want of a target.
 
         An answer that has begun cannot be refused, only broken off.
         """
         remaining_s = self._request.deadline_s - self._clock()
         return (
             self._caller.started
-            and turns.may_find_room(refusal)
+            and turns.may_find_target(refusal)
             and remaining_s > conf.ISOLATION_RESERVE_S
         )
 
--- a/packages/savoryyoke-entry/savoryyoke_entry/turns.py
+++ b/packages/savoryyoke-entry/savoryyoke_entry/turns.py
@@ -11,6 +11,12 @@
         routing_decisions.NoTargetReason.OVERLOADED,
     }
 )
+# Reasons that end with the next reports or the next list of targets.
+_PASSING = _WAITABLE | {
+    routing_decisions.NoTargetReason.ALL_OUT,
+    routing_decisions.NoTargetReason.DEADLINE,
+    routing_decisions.NoTargetReason.NO_TARGETS,
+}
 
 
 class Turns:
@@ -66,6 +72,6 @@
     return share * conf.FIRST_TOKEN_TARGET_S
 
 
-def may_find_room(refusal):
-    """Tell whether a refused request may find room a moment later."""
-    return refusal.reason in _WAITABLE
+def may_find_target(refusal):
+    """Tell whether a later choice may find a target, room or not now."""
+    return refusal.reason in _PASSING
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -2,6 +2,7 @@
 
 import json
 import socket
+import time
 
 from savoryyoke_fakes import clients
 from savoryyoke_fakes import engine
@@ -9,6 +10,10 @@
 from tests import support
 
 TOKENS = 40
+ENGINES = ('engine-a', 'engine-b', 'engine-c')
+# Entries take a target that is silent for two seconds for unreachable.
+SILENCE_S = 2.5
+OUTAGE_S = 1.0
 
 
 class WholeAnswerTests(support.FleetTestCase):
@@ -16,7 +21,7 @@
 
     def tearDown(self):
         """Switch the faults off again."""
-        for vm_id in ('engine-a', 'engine-b', 'engine-c'):
+        for vm_id in ENGINES:
             if not self.fleet.processes_by_name[f'{vm_id}.backend'].running:
                 self.fleet.start_backend(vm_id)
             if not self.fleet.processes_by_name[vm_id].running:
@@ -46,7 +51,7 @@
         """Return the targets that run a call now."""
         return [
             vm_id
-            for vm_id in ('engine-a', 'engine-b', 'engine-c')
+            for vm_id in ENGINES
             if self.fleet.read_status(vm_id)['running']
         ]
 
@@ -56,9 +61,7 @@
         self.assert_whole(answer)
 
     def test_target_process_that_dies_half_way_is_replaced(self):
-        self.set_faults(
-            'engine-a', 'engine-b', 'engine-c', token_interval_s=0.02
-        )
+        self.set_faults(*ENGINES, token_interval_s=0.02)
         call = support.Background(
             self.client.complete, 'target dies', max_tokens=TOKENS
         )
@@ -67,10 +70,31 @@
             self.fleet.processes_by_name[vm_id].kill()
         self.assert_whole(call.get())
 
-    def test_answer_that_cannot_be_completed_fails_aloud(self):
-        self.set_faults(
-            'engine-a', 'engine-b', 'engine-c', truncate_after=TOKENS // 2
+    def test_begun_answer_waits_until_a_target_is_heard_again(self):
+        self.set_faults(*ENGINES, token_interval_s=0.1)
+        call = support.Background(
+            self.client.complete, 'none is heard', max_tokens=TOKENS
         )
+        support.wait_until(self.find_serving_targets)
+        (serving,) = self.find_serving_targets()
+        others = [
+            self.fleet.processes_by_name[vm_id]
+            for vm_id in ENGINES
+            if vm_id != serving
+        ]
+        for process in others:
+            process.freeze()
+        try:
+            time.sleep(SILENCE_S)
+            self.fleet.processes_by_name[serving].kill()
+            time.sleep(OUTAGE_S)
+        finally:
+            for process in others:
+                process.thaw()
+        self.assert_whole(call.get())
+
+    def test_answer_that_cannot_be_completed_fails_aloud(self):
+        self.set_faults(*ENGINES, truncate_after=TOKENS // 2)
         answer = self.client.complete('all die', max_tokens=TOKENS)
         self.assertFalse(answer.whole)
         indexes, ended = clients.read_tokens(answer)
@@ -80,7 +104,7 @@
         self.assertEqual('may-have-run', json.loads(problem)['outcome'])
 
     def test_caller_that_leaves_frees_the_engine(self):
-        self.set_faults('engine-a', 'engine-b', 'engine-c', stall_after=3)
+        self.set_faults(*ENGINES, stall_after=3)
         with self.assertRaises(clients.httpcore.ReadTimeout):
             clients.call(
                 'POST',
@@ -114,9 +138,7 @@
             self.assertEqual(expected, words)
 
     def test_slow_reader_gets_its_whole_answer_and_delays_nobody(self):
-        self.set_faults(
-            'engine-a', 'engine-b', 'engine-c', token_interval_s=0.0
-        )
+        self.set_faults(*ENGINES, token_interval_s=0.0)
         host, port = self.client.address.split(':')
         body = json.dumps(
             {'prompt': 'slow', 'max_tokens': 20000, 'stream': True}
