Show the log of a target process that ends with another status

The listed exit status 70 of test_payment_in_progress_ends_and_its_record_ reaches_the_heir could not be traced, as the test did not show what the process wrote. Reading the stop's code found no exception that would leave it.

--- a/tests/support.py
+++ b/tests/support.py
@@ -9,6 +9,7 @@
 
 WAIT_S = 20.0
 POLL_S = 0.02
+LOG_SHOWN = 4000
 
 
 class FleetTestCase(unittest.TestCase):
@@ -35,6 +36,11 @@
         )
         self.client.ask_directory()
 
+    def assert_stopped(self, process):
+        """Check that a process ends well; show what it wrote if not."""
+        status = process.wait()
+        self.assertEqual(0, status, process.read_log()[-LOG_SHOWN:])
+
     def count_runs(self, reference):
         """Return how often a payment ran in the whole fleet."""
         return self.fleet.count_runs().get(reference, 0)
