Put off readings of the platform in large fleets

Changes are now read together after a pause of 12 ms times the entries, at most 1 s, except in fleets of up to 16 entries and while any target is out of service. Copies from peers wait as much longer.

--- a/packages/savoryyoke-gateway/savoryyoke_gateway/daemon.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/daemon.py
@@ -8,6 +8,8 @@
 import anyio
 import prometheus_client
 
+from savoryyoke.published import pacing as published_pacing
+
 from savoryyoke_edge import logs
 from savoryyoke_edge import servers
 from savoryyoke_gateway import application
@@ -78,11 +80,15 @@
             knowledge=self.knowledge,
             dispatching=self._dispatching,
             describe=self._describe,
+            find_pause_s=self._find_pause_s,
             draw=draw,
             clock=clock,
         )
         self._follower = following.Follower(
-            source=source, knowledge=self.knowledge, metrics=self._metrics
+            source=source,
+            knowledge=self.knowledge,
+            metrics=self._metrics,
+            find_pause_s=self._find_pause_s,
         )
         self._front = application.FrontApplication(
             forwarder=forwarder.Forwarder(
@@ -212,6 +218,15 @@
             entries=entries,
         )
 
+    def _find_pause_s(self):
+        return published_pacing.find_pause_s(
+            entries=self.peering.table.most_entries,
+            is_settled=all(
+                target.is_in_service and not target.is_draining
+                for target in self.knowledge.publication.targets
+            ),
+        )
+
     def _knows_enough(self):
         publication = self.knowledge.publication
         return publication.catalogue is not None and bool(publication.targets)
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/following.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/following.py
@@ -16,10 +16,16 @@
     its callers the newest configuration.
     """
 
-    def __init__(self, *, source, knowledge, metrics):
+    def __init__(self, *, source, knowledge, metrics, find_pause_s):
+        """Prepare to follow.
+
+        ``find_pause_s()`` returns the pause between a change and the next
+        reading.
+        """
         self._source = source
         self._knowledge = knowledge
         self._metrics = metrics
+        self._find_pause_s = find_pause_s
         self._needs_snapshot = True
         self._is_lost = False
 
@@ -35,7 +41,8 @@
                 self._note_lost(error)
                 await anyio.sleep(conf.SOURCE_RETRY_S)
             else:
-                self._take_in(reading)
+                if self._take_in(reading):
+                    await anyio.sleep(self._find_pause_s())
 
     async def _read(self):
         if self._needs_snapshot:
@@ -45,6 +52,8 @@
         )
 
     def _take_in(self, reading):
+        """Put a reading in force; return whether it moved the view."""
+        before = self._knowledge.as_of
         self._metrics.count_reading('ok')
         after_outage = self._is_lost
         if after_outage:
@@ -56,6 +65,7 @@
             reading, source='platform', after_outage=after_outage
         )
         self._needs_snapshot = skipped
+        return self._knowledge.as_of != before
 
     def _skips_revisions(self, changes):
         """Return whether the revision moved without any change shown."""
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/peering.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/peering.py
@@ -23,16 +23,26 @@
     """Own the sockets to the other entries and the table of peers.
 
     ``describe()`` returns whether this entry is ready, whether it leaves,
-    and its requests in flight by target id.
+    and its requests in flight by target id. ``find_pause_s()`` returns how
+    long this entry puts off reading a change from the platform.
     """
 
     def __init__(
-        self, *, settings, knowledge, dispatching, describe, draw, clock
+        self,
+        *,
+        settings,
+        knowledge,
+        dispatching,
+        describe,
+        find_pause_s,
+        draw,
+        clock,
     ):
         self._settings = settings
         self._knowledge = knowledge
         self._dispatching = dispatching
         self._describe = describe
+        self._find_pause_s = find_pause_s
         self._clock = clock
         self._incarnation = int(draw() * 2**63)
         self._sequence = itertools.count(1)
@@ -232,7 +242,8 @@
             if self._behind_since_s is None:
                 self._behind_since_s = self._clock()
             behind_s = self._clock() - self._behind_since_s
-            if behind_s >= conf.PEER_COPY_AFTER_S:
+            patience_s = conf.PEER_COPY_AFTER_S + self._find_pause_s()
+            if behind_s >= patience_s:
                 await self._copy_from(host)
 
     async def _copy_from(self, host):
--- a/packages/savoryyoke/savoryyoke/published/conf.py
+++ b/packages/savoryyoke/savoryyoke/published/conf.py
@@ -3,3 +3,10 @@
 # The platform restores the entries of live targets within about two seconds
 # of the end of an outage.
 LAPSE_GRACE_S = 2.0
+
+# 43 entries that read each of three changes a second make 130 calls a second.
+# With this pause a larger fleet makes no more than 80, and the pause stays
+# well below the three seconds in which configuration must be in force.
+SMALL_FLEET_ENTRIES = 16
+PAUSE_PER_ENTRY_S = 0.012
+PAUSE_MOST_S = 1.0
