Put off readings a little also while targets are out of service

Now changes are put off for 5 ms times the entries then, at most 0.3 s.

Ruled out: waiting reads that end without a change (each 2 s, some 700 calls).

--- a/packages/savoryyoke/savoryyoke/published/conf.py
+++ b/packages/savoryyoke/savoryyoke/published/conf.py
@@ -10,3 +10,9 @@
 SMALL_FLEET_ENTRIES = 16
 PAUSE_PER_ENTRY_S = 0.012
 PAUSE_MOST_S = 1.0
+
+# While targets are out of service, callers may wait for their return, which
+# takes seconds. Yet where a whole fleet starts, each of its targets makes one
+# change and more.
+URGENT_PAUSE_PER_ENTRY_S = 0.005
+URGENT_PAUSE_MOST_S = 0.3
