Let one task at a time send membership's datagrams

Cause of the listed exit status 70 of a stopped target process: the last message of a process (ControlPlane.leave) is sent by the draining task, while the sending task may be in the midst of its own; the socket then raises BusyResourceError, which no one catches, and the daemon ends with "internal error".

--- a/packages/savoryyoke-edge/savoryyoke_edge/control/gossip.py
+++ b/packages/savoryyoke-edge/savoryyoke_edge/control/gossip.py
@@ -24,6 +24,7 @@
         self._on_decision = on_decision
         self._outbox = []
         self._outbox_ready = anyio.Event()
+        self._sending = anyio.Lock()
         self.sent_bytes = 0
         self.received_bytes = 0
         self.refused_datagrams = 0
@@ -94,10 +95,11 @@
             await self._send_waiting()
 
     async def _send_waiting(self):
-        waiting = self._outbox
-        self._outbox = []
-        for decision in waiting:
-            await self._send_one(decision)
+        # One task at a time may use the socket.
+        async with self._sending:
+            waiting, self._outbox = self._outbox, []
+            for decision in waiting:
+                await self._send_one(decision)
 
     async def _send_one(self, decision):
         try:
