Space the maps of a large group, so that narrow links pass them

The leader's burst of 15 maps is 84 KB on a link of 4 Mbit/s, which loses what does not fit its queue: those to the last first ranks.

Ruled out: unknown members (all know 63 ranks since 9 s before), the search.

--- a/packages/savoryyoke-agent/savoryyoke_agent/conf.py
+++ b/packages/savoryyoke-agent/savoryyoke_agent/conf.py
@@ -20,10 +20,15 @@
 BLOCK_COUNTS_S = 0.3
 PLAN_S = 0.1
 
-# A map goes out ahead of the directive that names it. In a large group it is
-# 6 KB, leaves the leader's link within 0.17 s and the block's within 0.07 s.
+# Bursts on a link of 4 Mbit/s lose what is above some 30 KB. Spaced messages
+# take three quarters of it.
+BURST_BYTES = 20_000
+SPACED_BYTES_PER_S = 375_000
+
+# In a large group a map is 6 KB; it leaves the leader's link within 0.2 s and
+# that of a block's first rank within 0.1 s.
 MAP_PATIENCE_S = 0.05
-BLOCK_MAP_PATIENCE_S = 0.3
+BLOCK_MAP_PATIENCE_S = 0.4
 # Maps that are asked for take at most half of a link of 4 Mbit/s.
 MAP_PAUSE_S = 0.025
 DELIVERY_LIMIT = 128
--- a/packages/savoryyoke-agent/savoryyoke_agent/daemon.py
+++ b/packages/savoryyoke-agent/savoryyoke_agent/daemon.py
@@ -269,7 +269,7 @@
             return
         self._directed_s = self._clock()
         if directive.expert_map is not None:
-            await self._delivery.announce(directive, self._agent.state)
+            self._delivery.announce(directive, self._agent.state)
         await self._exchange.send(directive, self._membership.hosts())
         order = self._agent.apply(
             events.DirectiveReceived(directive=directive)
--- a/packages/savoryyoke-agent/savoryyoke_agent/delivery.py
+++ b/packages/savoryyoke-agent/savoryyoke_agent/delivery.py
@@ -47,13 +47,15 @@
         while True:
             while self._queue:
                 sending = self._queue.popleft()
-                await self._exchange.send(sending.message, sending.hosts)
+                await self._exchange.send_spaced(
+                    sending.message, sending.hosts
+                )
                 await anyio.sleep(sending.pause_s)
             await self._wake.wait()
             self._wake = anyio.Event()
 
-    async def announce(self, directive, state):
-        """Send the map of a directive to the other ranks, once."""
+    def announce(self, directive, state):
+        """Queue the map of a directive for the other ranks, once."""
         if directive.version == self._announced:
             return
         self._announced = directive.version
@@ -63,7 +65,7 @@
         ranks = [*blocks.find_heads(state.ranks)]
         if state.rank in ranks:
             ranks.extend(blocks.find_others(state.rank, state.ranks))
-        await self._exchange.send(message, self._find_hosts(ranks))
+        self._enqueue(_Sending(message=message, hosts=self._find_hosts(ranks)))
 
     def pass_on(self, message, state):
         """Queue a map that has arrived for the rest of the own block."""
--- a/packages/savoryyoke-agent/savoryyoke_agent/exchange.py
+++ b/packages/savoryyoke-agent/savoryyoke_agent/exchange.py
@@ -4,6 +4,8 @@
 
 import anyio
 
+from savoryyoke_agent import conf
+
 from savoryyoke_edge import logs
 from savoryyoke_wire import exceptions as wire_exceptions
 from savoryyoke_wire import group
@@ -40,6 +42,19 @@
             for host in hosts:
                 await self._send_to(packed, host, port or self._port)
 
+    async def send_spaced(self, message, hosts):
+        """Send a large message to hosts, no faster than narrow links bear."""
+        if self._socket is None:
+            return
+        packed = group.encode(message)
+        sent_bytes = 0
+        for host in hosts:
+            async with self._sending:
+                await self._send_to(packed, host, self._port)
+            sent_bytes += len(packed)
+            if sent_bytes > conf.BURST_BYTES:
+                await anyio.sleep(len(packed) / conf.SPACED_BYTES_PER_S)
+
     async def _send_to(self, packed, host, port):
         try:
             await self._socket.sendto(packed, host, port)
