Keep entries from reading a list that a test takes back

Cause of the listed RedTest.test_target_that_is_listed_as_live_again: an entry that reads the list of VMs between "leaving" and "live" never again sends work to that process (routing.registry, by design), so the mutant shows nothing; on a busy machine all entries may read in between. The check is as strict as before.

--- a/packages/savoryyoke-fakes/tests/scenarios/test_processes.py
+++ b/packages/savoryyoke-fakes/tests/scenarios/test_processes.py
@@ -78,12 +78,16 @@
         )
 
     def test_target_that_is_listed_as_live_again(self):
+        # No entry may read the list in between: it would never again send
+        # work to that process of the target.
         self.assert_broken(
             'leaving-target',
             'start completions by letters at 40 per second\n'
             'wait until 20 calls ended\n'
+            'platform down\n'
             'list engine-a leaving\n'
             'list engine-a live\n'
+            'platform back\n'
             'expect no new work at engine-a after 1 s\n',
             'engine-a got work after',
         )
