Give mutants of the soak the faults that they need

A mutant that needs luck could go unseen on a busy machine: resets, a target that leaves and a stop are planned now, in place of seeds that hold some.

--- a/packages/savoryyoke-soak/savoryyoke_soak/runner.py
+++ b/packages/savoryyoke-soak/savoryyoke_soak/runner.py
@@ -35,31 +35,36 @@
     lines_by_entry: dict[int, list[str]]
 
 
-def play(*, seed, seconds=conf.SECONDS, mutant=None):
+def play(*, seed, seconds=conf.SECONDS, mutant=None, planned=None):
     """Run one seed and return its ``Outcome``.
 
-    ``mutant`` names a promise that the entries then break.
+    ``mutant`` names a promise that the entries then break; ``planned`` are
+    faults in place of those that are drawn.
     """
     arguments = _ENTRY
     if mutant is not None:
         arguments = ('-m', 'savoryyoke_soak.mutants', mutant)
-    soak = Soak(seed=seed, seconds=seconds, arguments=arguments)
+    if planned is None:
+        planned = faults.draw_faults(
+            seed=seed,
+            seconds=seconds,
+            entries=conf.ENTRIES,
+            targets=conf.REPLICAS,
+        )
+    soak = Soak(
+        seed=seed, seconds=seconds, planned=planned, arguments=arguments
+    )
     return anyio.run(soak.run)
 
 
 class Soak:
     """Own one run."""
 
-    def __init__(self, *, seed, seconds, arguments):
+    def __init__(self, *, seed, seconds, planned, arguments):
         self._seed = seed
         self._arguments = arguments
         self._history = records.History()
-        self._faults = faults.draw_faults(
-            seed=seed,
-            seconds=seconds,
-            entries=conf.ENTRIES,
-            targets=conf.REPLICAS,
-        )
+        self._faults = planned
         self._seconds = seconds
         self._fleet = None
 
@@ -105,9 +110,9 @@
             async with anyio.create_task_group() as failing:
                 started_s = time.monotonic()
                 for fault in self._faults:
-                    wait_s = started_s + fault.at_s - time.monotonic()
-                    await anyio.sleep(max(wait_s, 0.0))
+                    await _sleep_until(started_s + fault.at_s)
                     failing.start_soon(self._cause, fault)
+                await _sleep_until(started_s + self._seconds)
             await anyio.sleep(conf.QUIET_S)
             stopped.set()
 
@@ -269,6 +274,10 @@
         proxy.set_mode(proxies.Mode.PASS)
 
 
+async def _sleep_until(at_s):
+    await anyio.sleep(max(at_s - time.monotonic(), 0.0))
+
+
 def _entry_fault(act):
     return lambda soak, fault: soak._on_entry(
         fault, functools.partial(act, soak)
--- a/packages/savoryyoke-soak/tests/test_soak.py
+++ b/packages/savoryyoke-soak/tests/test_soak.py
@@ -8,9 +8,25 @@
 
 SECONDS = 6.0
 SEEDS = (1, 3)
-# Seeds with what a mutant needs to show: broken links, no restart of an entry
-# (it would bring the others up to date), and a target that leaves.
-SEEDS_BY_PROMISE = {'once': 2, 'configuration': 2, 'leaving': 3}
+MUTANT_SECONDS = 5.0
+
+
+def build_fault(kind, *, place=0, at_s=0.5, for_s=2.0):
+    """Return a fault of a mutant's run."""
+    return faults.Fault(kind=kind, place=place, at_s=at_s, for_s=for_s)
+
+
+RESETS = tuple(
+    build_fault('reset', place=number % 4, at_s=0.5 + 0.1 * number, for_s=0.1)
+    for number in range(40)
+)
+# What a mutant needs to show itself.
+FAULTS_BY_PROMISE = {
+    'once': RESETS,
+    'not-run': RESETS,
+    'leaving': (build_fault('drain-target'),),
+    'stop': (build_fault('stop'),),
+}
 # Seeds that have found a fault, with its cause.
 REGRESSIONS_BY_SEED = {}
 
@@ -62,9 +78,10 @@
         for promise in mutants.MUTATIONS_BY_PROMISE:
             with self.subTest(promise=promise):
                 outcome = runner.play(
-                    seed=SEEDS_BY_PROMISE.get(promise, SEEDS[0]),
-                    seconds=SECONDS,
+                    seed=1,
+                    seconds=MUTANT_SECONDS,
                     mutant=promise,
+                    planned=FAULTS_BY_PROMISE.get(promise, ()),
                 )
                 broken = {breach.promise for breach in outcome.breaches}
                 self.assertIn(promise, broken)
