--- a/packages/savoryyoke-soak/savoryyoke_soak/__main__.py
+++ b/packages/savoryyoke-soak/savoryyoke_soak/__main__.py
@@ -2,6 +2,7 @@
 
 import collections
 import pathlib
+import signal
 import sys
 
 import fire
@@ -50,4 +51,7 @@
 
 
 if __name__ == '__main__':
+    # Whoever ends the soak ends its processes too, also from the background.
+    for number in (signal.SIGINT, signal.SIGTERM):
+        signal.signal(number, signal.default_int_handler)
     fire.Fire(soak)
--- a/packages/savoryyoke-soak/savoryyoke_soak/fleet.py
+++ b/packages/savoryyoke-soak/savoryyoke_soak/fleet.py
@@ -21,6 +21,10 @@
 _PORTS = 16
 
 
+class StartFailed(Exception):
+    """Report an entry that does not serve, with its last lines."""
+
+
 class EntryPlace:
     """Hold one entry's addresses, settings and process."""
 
@@ -92,9 +96,8 @@
         for place in self.entries:
             place.proxy = proxies.Proxy(upstream=self._store_address)
             await self.start_entry(place)
-        with anyio.fail_after(conf.START_S):
-            for place in self.entries:
-                await self.wait_ready(place)
+        for place in self.entries:
+            await self.await_entry(place)
 
     async def _serve_store(self, *, task_status):
         await self.store.serve(task_status=task_status)
@@ -163,10 +166,17 @@
         }
         place.settings_path.write_text(json.dumps(document))
 
-    async def wait_ready(self, place):
-        """Return when an entry's process serves; its life begins."""
-        while not await _is_ready(place.ready):
-            await anyio.sleep(0.05)
+    async def await_entry(self, place):
+        """Return when an entry's process serves; its life begins.
+
+        Raise ``StartFailed`` where it does not.
+        """
+        with anyio.move_on_after(conf.START_S) as scope:
+            while not await _is_ready(place.ready):
+                await anyio.sleep(0.05)
+        if scope.cancelled_caught:
+            lines = '\n'.join(place.lines[-conf.LINES_SHOWN :])
+            raise StartFailed(f'entry-{place.number}\n{lines}')
         place.life = f'entry-{place.number}.{place.lives}'
         place.is_up = True
 
--- a/packages/savoryyoke-soak/savoryyoke_soak/runner.py
+++ b/packages/savoryyoke-soak/savoryyoke_soak/runner.py
@@ -177,8 +177,7 @@
         await place.child.wait(conf.STOP_S)
         await anyio.sleep(fault.for_s)
         await self._fleet.start_entry(place)
-        with anyio.fail_after(conf.START_S):
-            await self._fleet.wait_ready(place)
+        await self._fleet.await_entry(place)
 
     async def _freeze(self, place, fault):
         from_s = time.monotonic()
