--- a/packages/savoryyoke-soak/savoryyoke_soak/fleet.py
+++ b/packages/savoryyoke-soak/savoryyoke_soak/fleet.py
@@ -31,9 +31,8 @@
     def __init__(self, *, number, host, directory):
         self.number = number
         self.host = host
-        ports = sockets.find_ports(host, 4)
-        self.front, self.ready, self.directory, self.control = (
-            f'{host}:{port}' for port in ports
+        self.front, self.ready, self.directory = (
+            f'{host}:{port}' for port in sockets.find_ports(host, 3)
         )
         self.settings_path = pathlib.Path(directory, f'entry-{number}.json')
         self.lives = 0
@@ -42,7 +41,9 @@
         self.life = f'entry-{number}.0'
         self.is_up = False
         self.is_busy = False
+        # Between this entry and the store, and where it listens.
         self.proxy = None
+        self.store = None
         self.lines = []
 
 
@@ -62,7 +63,7 @@
 class Fleet:
     """Start, publish and replace entries and targets.
 
-    ``module`` is what entries run.
+    ``arguments`` are those of Python to run an entry.
     """
 
     def __init__(self, *, group, directory, history, arguments):
