Add an emulator of entries and a group of engines

It plays callers, entries and one group of engines in virtual time; entries decide by savoryyoke.placement itself.

--- a/Makefile
+++ b/Makefile
@@ -5,10 +5,11 @@
 	packages/savoryyoke-edge packages/savoryyoke-entry \
 	packages/savoryyoke-target packages/savoryyoke-gateway \
 	packages/savoryyoke-agent platform \
-	packages/savoryyoke-fakes packages/savoryyoke-soak
+	packages/savoryyoke-fakes packages/savoryyoke-soak \
+	packages/savoryyoke-emulator
 SOURCES := packages platform tests tools
 
-.PHONY: all setup demo measure prove soak test lint format clean
+.PHONY: all setup demo measure prove soak emulate test lint format clean
 
 all: lint test
 
@@ -36,6 +37,11 @@
 	$(BIN)/python -m savoryyoke_soak --first=$$(date +%s) --seeds=10 \
 		--logs=soak-logs
 
+# What a policy would bring, in seconds: see docs/howto/emulate.md.
+emulate: setup
+	$(BIN)/python -m savoryyoke_emulator \
+		packages/savoryyoke-emulator/experiments/*.toml
+
 test: setup
 	$(BIN)/python tools/run_tests.py
 
--- /dev/null
+++ b/packages/savoryyoke-emulator/savoryyoke_emulator/entries.py
@@ -0,0 +1,107 @@
+"""Emulate entries that place requests by the product's own decisions."""
+
+from savoryyoke.placement import conf as placement_conf
+from savoryyoke.placement import decisions
+from savoryyoke.placement import dispatcher
+from savoryyoke.placement import events
+from savoryyoke.placement import models
+from savoryyoke.placement import pool
+
+_SERVICE = 'streams'
+
+
+def build_targets(engines, *, is_open):
+    """Return the ranks of a group as they are published."""
+    return tuple(
+        models.Target(
+            target_id=str(rank),
+            incarnation=1,
+            service_name=_SERVICE,
+            host='engine',
+            port=rank,
+            data_centre='dc',
+            region='region',
+            slots=engines.slots,
+            is_draining=False,
+            is_in_service=is_open,
+        )
+        for rank in range(engines.ranks)
+    )
+
+
+class Entry:
+    """Own the dispatcher of one entry.
+
+    ``on_decision(request_id, decision)`` is called once for each request.
+    """
+
+    def __init__(self, *, fleet, source, clock, on_decision):
+        self._clock = clock
+        self._on_decision = on_decision
+        self.is_up = True
+        policy = placement_conf.PlacementPolicy(
+            engine_requests_per_target=fleet.engine_requests
+        )
+        self._dispatcher = dispatcher.Dispatcher(
+            pool=pool.TargetPool(
+                policy=policy,
+                is_engine=True,
+                own_data_centre='dc',
+                draw=source.random,
+            ),
+            draw=source.random,
+        )
+
+    def publish(self, targets):
+        """Take over the published targets."""
+        self._apply(events.TargetsChanged(targets=targets))
+
+    def report_peer(self, peer_id, requests_by_target_id):
+        """Take over what another entry has in flight."""
+        self._apply(
+            events.PeerReported(
+                peer_id=peer_id, requests_by_target_id=requests_by_target_id
+            )
+        )
+
+    def own_in_flight(self):
+        """Return the requests in flight by target id."""
+        return self._dispatcher.pool.own_in_flight()
+
+    def ask(self, arrival):
+        """Take a request in."""
+        self._apply(arrival)
+        self._clock.call_at(arrival.wait_until_s, self.tick)
+
+    def withdraw(self, request_id):
+        """Drop a request that waits."""
+        self._apply(events.RequestWithdrawn(request_id=request_id))
+
+    def end_try(self, target_id, *, held_s):
+        """Report the end of a try; ``held_s`` is None for a failed one."""
+        result = models.TryResult.ANSWERED
+        if held_s is None:
+            result = models.TryResult.BROKEN
+        self._apply(
+            events.TryEnded(
+                target_id=target_id,
+                incarnation=1,
+                result=result,
+                held_s=held_s,
+            )
+        )
+
+    def tick(self):
+        """Let time pass."""
+        self._apply(events.Ticked())
+
+    def _apply(self, event):
+        if not self.is_up:
+            return
+        for decision in self._dispatcher.apply(event, now_s=self._clock.now_s):
+            self._on_decision(decision.request_id, decision)
+
+
+def is_placed(decision):
+    """Tell whether a decision sends the request to a target."""
+    return isinstance(decision, decisions.Place)
