--- a/packages/savoryyoke-emulator/savoryyoke_emulator/__main__.py
+++ b/packages/savoryyoke-emulator/savoryyoke_emulator/__main__.py
@@ -13,8 +13,8 @@
 def emulate(*paths, seeds=3, against=()):
     """Play experiments and print a table and the credit of each second.
 
-    ``against`` holds changes to compare with, such as
-    ``fleet.engine_requests=4``; several are parted by commas.
+    ``against`` holds changes to compare with, parted by commas, such as
+    ``fleet.engine_requests=4,maps.even=1.2+maps.reaction_s=0.3``.
     """
     changes = against.split(',') if isinstance(against, str) else against
     try:
--- a/packages/savoryyoke-emulator/savoryyoke_emulator/experiments.py
+++ b/packages/savoryyoke-emulator/savoryyoke_emulator/experiments.py
@@ -54,10 +54,16 @@
 
 
 def change(experiment, text):
-    """Return an experiment with one value changed.
+    """Return an experiment with values changed.
 
-    ``text`` is such as ``fleet.engine_requests=4``.
+    ``text`` is such as ``fleet.engine_requests=4+maps.even=1.2``.
     """
+    for one in text.split('+'):
+        experiment = _change_one(experiment, one)
+    return experiment
+
+
+def _change_one(experiment, text):
     place, _, raw = text.partition('=')
     part_name, _, name = place.partition('.')
     part = getattr(experiment, part_name, None)
--- a/packages/savoryyoke-emulator/tests/test_experiments.py
+++ b/packages/savoryyoke-emulator/tests/test_experiments.py
@@ -57,6 +57,13 @@
         self.assertEqual(4, changed.fleet.engine_requests)
         self.assertEqual(loaded.maps, changed.maps)
 
+    def test_several_values_are_changed(self):
+        loaded = experiments.build(self.document)
+        text = 'maps.even=1.2+fleet.entries=1'
+        changed = experiments.change(loaded, text)
+        self.assertEqual(1.2, changed.maps.even)
+        self.assertEqual(1, changed.fleet.entries)
+
     def test_change_of_nothing_known_is_refused(self):
         loaded = experiments.build(self.document)
         for text in ('fleet.colour=4', 'colour=4', 'fleet.entries=many'):
