--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -39,9 +39,11 @@
     """Return the directories that hold a ``tests`` package."""
     packages = sorted((ROOT / 'packages').iterdir())
     packages.append(ROOT / 'platform')
-    suites = [path for path in packages if (path / 'tests').is_dir()]
-    suites.append(ROOT)
-    return suites
+    # The longest one begins first.
+    return [
+        ROOT,
+        *(path for path in packages if (path / 'tests').is_dir()),
+    ]
 
 
 def run_suite(directory):
