--- a/packages/savoryyoke-soak/savoryyoke_soak/conf.py
+++ b/packages/savoryyoke-soak/savoryyoke_soak/conf.py
@@ -24,6 +24,8 @@
 
 # Callers keep an answer of the directory for less than three times its TTL.
 DIRECTORY_KEPT_TIMES = 2.5
+# So an entry may be gone this long after it was asked to stop.
+STOPPED_GONE_S = 3.0
 
 # A stopped entry finishes what it has begun within this time.
 GRACE_S = 8.0
--- a/packages/savoryyoke-soak/savoryyoke_soak/promises.py
+++ b/packages/savoryyoke-soak/savoryyoke_soak/promises.py
@@ -10,6 +10,10 @@
 _NOT_RUN_STATUSES = frozenset({408, 429, 503})
 # An entry that is killed or frozen can keep no promise to its callers.
 _DISABLING = frozenset({'killed', 'frozen'})
+# One that was asked to stop is gone for callers with outdated answers of the
+# directory, but cuts nothing.
+_STOPPED = 'stopped'
+_CONNECT_FAILURES = frozenset({'ConnectError', 'ConnectTimeout'})
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -85,7 +89,7 @@
 def _check_answered(history):
     """Each request ends in time, unless its entry was killed or frozen."""
     for call in history.calls:
-        if _is_disabled(history, call.life, call.sent_s, call.ended_s):
+        if _is_excused_call(history, call):
             continue
         late_s = call.ended_s - call.sent_s - conf.DEADLINE_S
         if late_s > conf.BUSY_S:
@@ -162,11 +166,15 @@
             )
 
 
-def _is_disabled(history, life, from_s, until_s):
+def _is_excused_call(history, call):
+    """Tell whether an entry could not answer a call."""
+    kinds = _DISABLING
+    if call.broken in _CONNECT_FAILURES:
+        kinds = kinds | {_STOPPED}
     return any(
-        trouble.on == life
-        and trouble.kind in _DISABLING
-        and trouble.overlaps(from_s, until_s)
+        trouble.on == call.life
+        and trouble.kind in kinds
+        and trouble.overlaps(call.sent_s, call.ended_s)
         for trouble in history.troubles
     )
 
--- a/packages/savoryyoke-soak/savoryyoke_soak/runner.py
+++ b/packages/savoryyoke-soak/savoryyoke_soak/runner.py
@@ -189,6 +189,8 @@
 
     async def _stop(self, place, fault):
         """Ask an entry to stop, repeatedly, as impatient operators do."""
+        gone_s = time.monotonic() + conf.STOPPED_GONE_S
+        self.note('stopped', place.life, gone_s, _FOREVER_S)
         for _ in range(3):
             self._fleet.signal_entry(place, signal.SIGTERM)
             await anyio.sleep(0.05)
@@ -197,7 +199,6 @@
             records.Stop(life=place.life, status=status, took_s=took_s)
         )
         place.is_up = False
-        self.note('killed', place.life, time.monotonic(), _FOREVER_S)
         place.child.kill()
         await self._return_entry(place, fault)
 
--- a/packages/savoryyoke-soak/tests/test_promises.py
+++ b/packages/savoryyoke-soak/tests/test_promises.py
@@ -124,6 +124,18 @@
         self.trouble('killed')
         self.assert_broken()
 
+    def test_caller_that_comes_to_a_stopped_entry(self):
+        call = build_call(status=None, is_whole=False, broken='ConnectError')
+        self.add(call, runs=0)
+        self.trouble('stopped')
+        self.assert_broken()
+
+    def test_caller_that_a_stop_cuts_off(self):
+        call = build_call(status=None, is_whole=False, broken='ReadError')
+        self.add(call, runs=0)
+        self.trouble('stopped')
+        self.assert_broken('answered')
+
     def test_answer_that_is_much_too_late(self):
         late_s = 10.0 + conf.DEADLINE_S + conf.BUSY_S + 0.1
         self.add(build_call(ended_s=late_s))
