--- a/packages/savoryyoke-soak/savoryyoke_soak/runner.py
+++ b/packages/savoryyoke-soak/savoryyoke_soak/runner.py
@@ -20,8 +20,6 @@
 
 _ENTRY = ('-m', 'savoryyoke_platform.entry')
 _FOREVER_S = math.inf
-# The newest versions may not be due yet.
-_PROBED_VERSIONS = 6
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -66,6 +64,8 @@
         self._history = records.History()
         self._faults = planned
         self._seconds = seconds
+        # The newest version of the configuration that was seen in force.
+        self._in_force_by_life = {}
         self._fleet = None
 
     async def run(self):
@@ -130,18 +130,28 @@
                     await self._probe_entry(place)
 
     async def _probe_entry(self, place):
-        life, version = place.life, self._fleet.version
-        version = max(1, version - random.randrange(_PROBED_VERSIONS))
+        life = place.life
+        version = self._choose_version(life)
         sent_s = time.monotonic()
         in_force = await callers.probe(place.front, version)
         if in_force is None or life != place.life or place.is_busy:
             return
+        if in_force:
+            known = self._in_force_by_life.get(life, 0)
+            self._in_force_by_life[life] = max(known, version)
         self._history.probes.append(
             records.Probe(
                 life=life, version=version, at_s=sent_s, in_force=in_force
             )
         )
 
+    def _choose_version(self, life):
+        """Return the oldest version that a life lacks, or one that it has."""
+        known = self._in_force_by_life.get(life, 0)
+        if known < self._fleet.version:
+            return known + 1
+        return random.randint(1, known)
+
     async def _cause(self, fault):
         await _CAUSES_BY_KIND[fault.kind](self, fault)
 
--- a/packages/savoryyoke-soak/tests/test_soak.py
+++ b/packages/savoryyoke-soak/tests/test_soak.py
@@ -8,7 +8,8 @@
 
 SECONDS = 6.0
 SEEDS = (1, 3)
-MUTANT_SECONDS = 5.0
+# A version that is written after 1.5 s is due after 6.5 s.
+MUTANT_SECONDS = 7.0
 
 
 def build_fault(kind, *, place=0, at_s=0.5, for_s=2.0):
