Let the soak and the adapter's tests share one stand-in of the wire

The soak had written again what platform/tests had: routes, configuration, a target's value, callers' headers, free ports, a reset, and wrappers around serve() that anyio does not need. They are in savoryyoke_fakes.deployment now (published, sockets), and both use them; the soak's callers name nothing of the platform any more.

In one run beside the agent's and the soak's suites a platform test ended with "Address already in use": two suites drew one free port on 127.0.0.0/24.

--- a/packages/savoryyoke-agent/tests/support.py
+++ b/packages/savoryyoke-agent/tests/support.py
@@ -1,7 +1,5 @@
 """Stand in for a group of engine ranks and for published values."""
 
-import socket
-
 import anyio
 
 from savoryyoke.groups.balancing import planner
@@ -13,6 +11,7 @@
 from savoryyoke_agent import daemon
 from savoryyoke_agent import ports
 from savoryyoke_edge import copies
+from savoryyoke_fakes.deployment import sockets
 
 PASS_S = 0.04
 PATIENCE_S = 20.0
@@ -163,9 +162,8 @@
 
 def find_port():
     """Return a port that is free on loopback."""
-    with socket.socket() as opened:
-        opened.bind(('127.0.0.1', 0))
-        return opened.getsockname()[1]
+    (port,) = sockets.find_ports('127.0.0.1', 1)
+    return port
 
 
 async def serve_copies(port):
--- a/packages/savoryyoke-fakes/savoryyoke_fakes/deployment/http.py
+++ b/packages/savoryyoke-fakes/savoryyoke_fakes/deployment/http.py
@@ -1,10 +1,11 @@
 """Serve HTTP/1.1 by hand, so that every oddity can be produced."""
 
 import dataclasses
-import socket
-import struct
 
 import anyio
+import anyio.abc
+
+from savoryyoke_fakes.deployment import sockets
 
 _REASONS_BY_STATUS = {200: 'OK'}
 
@@ -70,12 +71,7 @@
 
     async def reset(self):
         """Close the connection with a reset."""
-        raw = self._stream.extra(anyio.abc.SocketAttribute.raw_socket)
-        # A zero linger time turns the close into a reset.
-        raw.setsockopt(
-            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
-        )
-        await self._stream.aclose()
+        await sockets.reset(self._stream)
 
     async def wait_closed(self):
         """Return when the other side has closed."""
--- a/packages/savoryyoke-fakes/savoryyoke_fakes/deployment/replica.py
+++ b/packages/savoryyoke-fakes/savoryyoke_fakes/deployment/replica.py
@@ -73,21 +73,6 @@
         """Serve on loopback until cancelled; report the address."""
         await http.serve(self._answer, task_status=task_status)
 
-    def entry(self, *, service, address, zone='zone-a', **changes):
-        """Return this replica's value in the store."""
-        entry = {
-            'Service': service,
-            'Addr': f'{address[0]}:{address[1]}',
-            'Zone': zone,
-            'Version': 'v1',
-            'Slots': 4,
-            'State': 'ready',
-            'Seq': 1,
-            'ColdLeftMs': 0,
-            'born': 1700000000000,
-        }
-        return entry | changes
-
     async def _answer(self, request, connection):
         self.arrivals.append(request)
         oddity = self._take_oddity()
--- a/packages/savoryyoke-soak/savoryyoke_soak/sockets.py
+++ b/packages/savoryyoke-fakes/savoryyoke_fakes/deployment/sockets.py
@@ -1,4 +1,4 @@
-"""Handle sockets of the soak."""
+"""Handle sockets of stand-ins."""
 
 import contextlib
 import socket
@@ -18,7 +18,7 @@
 
 
 async def reset(stream):
-    """Close a connection with a reset."""
+    """Close a connection with a reset, unless it is closed already."""
     try:
         raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
         # A zero linger time turns the close into a reset.
@@ -26,7 +26,6 @@
             socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
         )
     except (OSError, anyio.ClosedResourceError):
-        # It is closed already.
         return
     with anyio.CancelScope(shield=True):
         await anyio.aclose_forcefully(stream)
--- a/packages/savoryyoke-soak/savoryyoke_soak/backend.py
+++ b/packages/savoryyoke-soak/savoryyoke_soak/backend.py
@@ -32,13 +32,9 @@
         work_s=conf.WORK_S,
     )
     async with anyio.create_task_group() as group:
-        host, port = await group.start(_start, fake)
+        host, port = await group.start(fake.serve)
         print(f'address {host} {port}', flush=True)
 
 
-async def _start(fake, *, task_status):
-    await fake.serve(task_status=task_status)
-
-
 if __name__ == '__main__':
     anyio.run(serve, sys.argv[1])
--- a/packages/savoryyoke-soak/savoryyoke_soak/callers.py
+++ b/packages/savoryyoke-soak/savoryyoke_soak/callers.py
@@ -1,12 +1,13 @@
 """Send requests as the platform's callers do."""
 
 import itertools
-import json
 import time
 
 import anyio
 import httpcore
 
+from savoryyoke_fakes.deployment import published
+
 from savoryyoke_soak import conf
 from savoryyoke_soak import records
 
@@ -21,7 +22,6 @@
     httpcore.ProtocolError,
     httpcore.TimeoutException,
 )
-_DIRECTORY_PATH = '/savoryyoke/lookup'
 _NUMBERS = itertools.count(1)
 
 
@@ -76,14 +76,15 @@
                 with anyio.fail_after(0.5):
                     async with httpcore.AsyncConnectionPool() as pool:
                         answer = await pool.request(
-                            'GET', f'http://{address}{_DIRECTORY_PATH}'
+                            'GET',
+                            f'http://{address}{published.DIRECTORY_PATH}',
                         )
             except (TimeoutError, *_FAILURES):
                 continue
             if answer.status == 200:
-                document = json.loads(answer.content)
-                self._addresses = document['Addrs']
-                self._ttl_s = document['TtlS']
+                self._addresses, self._ttl_s = published.read_directory(
+                    answer.content
+                )
                 self._asked_s = time.monotonic()
                 return
 
@@ -140,12 +141,9 @@
 
 
 def _build_headers(request_id, kind):
-    headers = [
-        ('Host', conf.HOST),
-        ('Authorization', f'Bearer {conf.KEY}'),
-        ('X-Request-Id', request_id),
-        ('X-Deadline-Ms', str(round(1000 * conf.DEADLINE_S))),
-    ]
+    headers = published.build_headers(
+        request_id=request_id, deadline_s=conf.DEADLINE_S
+    )
     if kind is records.Kind.DRAFT:
         headers.append(('Accept', 'text/event-stream'))
     return headers
--- a/packages/savoryyoke-soak/savoryyoke_soak/conf.py
+++ b/packages/savoryyoke-soak/savoryyoke_soak/conf.py
@@ -1,7 +1,5 @@
 """Figures of the fault soak."""
 
-HOST = 'api.example'
-KEY = 'key-of-fund'
 ZONES = {'zone-a': 'region', 'zone-b': 'region'}
 
 ENTRIES = 4
--- a/packages/savoryyoke-soak/savoryyoke_soak/fleet.py
+++ b/packages/savoryyoke-soak/savoryyoke_soak/fleet.py
@@ -9,13 +9,14 @@
 
 import anyio
 
+from savoryyoke_fakes.deployment import published
+from savoryyoke_fakes.deployment import sockets
 from savoryyoke_fakes.deployment import store as fake_store
 
 from savoryyoke_soak import children
 from savoryyoke_soak import conf
 from savoryyoke_soak import proxies
 from savoryyoke_soak import records
-from savoryyoke_soak import sockets
 
 _SETTINGS_VARIABLE = 'SAVORYYOKE_SETTINGS'
 _PORTS = 16
@@ -89,7 +90,7 @@
 
     async def start(self):
         """Start everything; return when all entries are ready."""
-        self._store_address = await self._group.start(self._serve_store)
+        self._store_address = await self._group.start(self.store.serve)
         (self._control_port,) = sockets.find_ports(self.entries[0].host, 1)
         self.publish_configuration()
         for place in self.targets:
@@ -100,39 +101,21 @@
         for place in self.entries:
             await self.await_entry(place)
 
-    async def _serve_store(self, *, task_status):
-        await self.store.serve(task_status=task_status)
-
     def publish_configuration(self):
         """Publish a further version; each adds a route of its own."""
         self.version += 1
         names = [kind.value for kind in records.Kind]
         names.extend(f'version-{x + 1}' for x in range(self.version))
-        self.store.write(
-            'op/config',
-            {
-                'Version': self.version,
-                'Routes': [_build_route(name) for name in names],
-                'Services': [
-                    {'Name': 'plain', 'MaxConns': 100, 'ColdPerS': 0.0}
-                ],
-                'Limits': {
-                    'HeaderBytes': 16384,
-                    'MaxBodyBytes': 4096,
-                    'HeaderTimeoutMs': 3000,
-                    'IdleTimeoutMs': 15000,
-                },
-                'Tenants': [
-                    {'Name': 'fund', 'ApiKeys': [conf.KEY], 'Priority': 1}
-                ],
-            },
+        configuration = published.build_configuration(
+            self.version, Routes=[_build_route(name) for name in names]
         )
+        self.store.write('op/config', configuration)
         self._history.written_s_by_version[self.version] = time.monotonic()
 
     async def start_entry(self, place):
         """Start an entry's process."""
         if place.lives == 0:
-            address = await self._group.start(_adapt(place.proxy.serve))
+            address = await self._group.start(place.proxy.serve)
             place.store = f'{address[0]}:{address[1]}'
             self.write_settings(place)
         place.lives += 1
@@ -141,7 +124,7 @@
             environment={_SETTINGS_VARIABLE: str(place.settings_path)},
             take_line=place.lines.append,
         )
-        await self._group.start(_adapt(place.child.run))
+        await self._group.start(place.child.run)
 
     def write_settings(self, place):
         """Write an entry's settings file."""
@@ -196,13 +179,13 @@
         """Start a new target in a place and publish it."""
         place.lives += 1
         target_id = f'target-{place.number}.{place.lives}'
-        address = []
+        upstream = []
         has_address = anyio.Event()
 
         def take_line(line):
             word, *rest = line.split()
             if word == 'address':
-                address.append((rest[0], int(rest[1])))
+                upstream.append((rest[0], int(rest[1])))
                 has_address.set()
             elif word == 'run':
                 self._note_run(rest, target_id)
@@ -212,23 +195,15 @@
             environment={},
             take_line=take_line,
         )
-        await self._group.start(_adapt(place.child.run))
+        await self._group.start(place.child.run)
         with anyio.fail_after(conf.START_S):
             await has_address.wait()
-        place.proxy = proxies.Proxy(upstream=address[0])
-        published = await self._group.start(_adapt(place.proxy.serve))
+        place.proxy = proxies.Proxy(upstream=upstream[0])
+        address = await self._group.start(place.proxy.serve)
         place.target_id = target_id
-        place.value = {
-            'Service': 'plain',
-            'Addr': f'{published[0]}:{published[1]}',
-            'Zone': 'zone-a',
-            'Version': 'v1',
-            'Slots': 8,
-            'State': 'ready',
-            'Seq': place.lives,
-            'ColdLeftMs': 0,
-            'born': 1700000000000,
-        }
+        place.value = published.build_target(
+            address=address, Slots=8, Seq=place.lives
+        )
         self.store.write(f'servers/{target_id}', place.value)
 
     def drain_target(self, place):
@@ -254,10 +229,6 @@
                 )
             )
 
-    def signal_entry(self, place, number):
-        """Send a signal to an entry's process."""
-        place.child.signal(number)
-
     def end(self):
         """Kill every process that was started, frozen ones too."""
         for place in (*self.entries, *self.targets):
@@ -267,22 +238,12 @@
 
 
 def _build_route(name):
-    kinds = {
-        'payment': {'Kind': 'non_idempotent'},
-        'draft': {'Kind': 'streaming', 'Resumable': True},
-    }
-    return {
-        'Name': name,
-        'Host': conf.HOST,
-        'Prefix': f'/{name}/',
-        'Kind': 'idempotent',
-        'TimeoutMs': round(1000 * conf.DEADLINE_S),
-        'SloMs': 400,
-        'Priority': 1,
-        'Service': 'plain',
-        'Attempts': 2,
-        'Public': False,
-    } | kinds.get(name, {})
+    """Return the route of a kind of requests, or of a version."""
+    if name == records.Kind.PAYMENT.value:
+        return published.build_route(f'/{name}/', 'non_idempotent')
+    if name == records.Kind.DRAFT.value:
+        return published.build_route(f'/{name}/', 'streaming', Resumable=True)
+    return published.build_route(f'/{name}/', 'idempotent')
 
 
 async def _is_ready(address):
@@ -294,10 +255,3 @@
                 await stream.send(request.encode())
                 return (await stream.receive()).startswith(b'HTTP/1.1 200')
     return False
-
-
-def _adapt(serve):
-    async def run(*, task_status):
-        await serve(task_status=task_status)
-
-    return run
--- a/packages/savoryyoke-soak/savoryyoke_soak/proxies.py
+++ b/packages/savoryyoke-soak/savoryyoke_soak/proxies.py
@@ -5,7 +5,7 @@
 import anyio
 import anyio.abc
 
-from savoryyoke_soak import sockets
+from savoryyoke_fakes.deployment import sockets
 
 _DELAY_S = 0.15
 _CHUNK_BYTES = 64 * 1024
--- a/packages/savoryyoke-soak/savoryyoke_soak/runner.py
+++ b/packages/savoryyoke-soak/savoryyoke_soak/runner.py
@@ -192,9 +192,9 @@
     async def _freeze(self, place, fault):
         from_s = time.monotonic()
         self.note('frozen', place.life, from_s, from_s + fault.for_s + 1.0)
-        self._fleet.signal_entry(place, signal.SIGSTOP)
+        place.child.signal(signal.SIGSTOP)
         await anyio.sleep(fault.for_s)
-        self._fleet.signal_entry(place, signal.SIGCONT)
+        place.child.signal(signal.SIGCONT)
         self.note('frozen', place.life, from_s)
 
     async def _stop(self, place, fault):
@@ -202,7 +202,7 @@
         gone_s = time.monotonic() + conf.STOPPED_GONE_S
         self.note('stopped', place.life, gone_s, _FOREVER_S)
         for _ in range(3):
-            self._fleet.signal_entry(place, signal.SIGTERM)
+            place.child.signal(signal.SIGTERM)
             await anyio.sleep(0.05)
         status, took_s = await place.child.wait(conf.STOP_S)
         self._history.stops.append(
@@ -214,17 +214,17 @@
 
     async def _reload(self, place, fault):
         for _ in range(3):
-            self._fleet.signal_entry(place, signal.SIGHUP)
+            place.child.signal(signal.SIGHUP)
             await anyio.sleep(fault.for_s / 3)
 
     async def _tear_settings(self, place, fault):
         """Let an entry read a settings file that is half written."""
         text = place.settings_path.read_text()
         place.settings_path.write_text(text[: len(text) // 2])
-        self._fleet.signal_entry(place, signal.SIGHUP)
+        place.child.signal(signal.SIGHUP)
         await anyio.sleep(fault.for_s)
         place.settings_path.write_text(text)
-        self._fleet.signal_entry(place, signal.SIGHUP)
+        place.child.signal(signal.SIGHUP)
 
     async def _cut_from_store(self, fault, mode):
         place = self._fleet.entries[fault.place]
