Give the agents' tests loopback hosts of their own

The suites run side by side, and the agents' tests and those of the adapter drew free ports on the same hosts: a platform test ended once with "Address already in use". On hosts of their own they cannot meet. That it was this collision is concluded from the hosts, not reproduced.

--- a/packages/savoryyoke-agent/tests/support.py
+++ b/packages/savoryyoke-agent/tests/support.py
@@ -157,19 +157,19 @@
 
 def host_of(rank):
     """Return the loopback host of a rank."""
-    return f'127.0.0.{rank + 2}'
+    return f'127.0.1.{rank + 2}'
 
 
 def find_port():
     """Return a port that is free on loopback."""
-    (port,) = sockets.find_ports('127.0.0.1', 1)
+    (port,) = sockets.find_ports('127.0.1.1', 1)
     return port
 
 
 async def serve_copies(port):
     """Stand in for an entry that hands out its view."""
     listener = await anyio.create_tcp_listener(
-        local_host='127.0.0.1', local_port=port
+        local_host='127.0.1.1', local_port=port
     )
     empty = published_models.Snapshot(as_of=1, items=())
 
@@ -194,7 +194,7 @@
             peer_port=port,
             pace_port=port,
             own_address=f'{host_of(rank)}:80',
-            seed_hosts=('127.0.0.1',),
+            seed_hosts=('127.0.1.1',),
         ),
         engine=Engine(group=group, rank=rank),
         members=Members(ranks=group.ranks),
--- a/packages/savoryyoke-agent/tests/test_daemon.py
+++ b/packages/savoryyoke-agent/tests/test_daemon.py
@@ -141,6 +141,6 @@
         epoch=1,
         term=term,
         sequence=1,
-        leader_host='127.0.0.2',
+        leader_host='127.0.1.2',
         phase=models.Phase.IDLE,
     )
