Log the content of requests and the crashes of targets

No line told that two requests have the same content, nor a crashed target from a cut connection, so the hypotheses of the incident could not be told apart. Entries now log a digest with each request and failed try, and target_crashed where a target that broke a try refuses connections or leaves the list without a drain. Nothing is decided by it yet.

--- a/packages/savoryyoke-fakes/savoryyoke_fakes/deployment/http.py
+++ b/packages/savoryyoke-fakes/savoryyoke_fakes/deployment/http.py
@@ -86,10 +86,10 @@
         return True
 
 
-async def serve(answer, *, task_status, host='127.0.0.1'):
+async def serve(answer, *, task_status, host='127.0.0.1', port=0):
     """Call ``answer(request, connection)`` for each request.
 
-    Report the bound address as ``(host, port)``.
+    Report the bound address as ``(host, port)``; port 0 takes a free one.
     """
 
     async def handle(stream):
@@ -104,7 +104,9 @@
             except (anyio.BrokenResourceError, anyio.ClosedResourceError):
                 return
 
-    listener = await anyio.create_tcp_listener(local_host=host)
+    listener = await anyio.create_tcp_listener(
+        local_host=host, local_port=port
+    )
     address = listener.extra(anyio.abc.SocketAttribute.local_address)
     task_status.started(address[:2])
     async with listener:
--- a/packages/savoryyoke-fakes/savoryyoke_fakes/deployment/replica.py
+++ b/packages/savoryyoke-fakes/savoryyoke_fakes/deployment/replica.py
@@ -43,13 +43,22 @@
     was_cut: bool = False
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class FatalRequest:
+    """Describe requests that end the replica ``after_s`` into their run."""
+
+    body: bytes
+    after_s: float = 0.03
+
+
 class FakeReplica:
     """Run requests and remember them.
 
     ``oddities`` are used up one a request; after them all is regular.
     Replicas that share ``common_oddities`` use those up together, and note
     their runs in ``common_runs`` in order. ``work_s`` is what an answer and
-    each event of a stream take.
+    each event of a stream take. ``fatal_requests`` may be changed at any
+    time.
     """
 
     def __init__(
@@ -60,6 +69,7 @@
         common_runs,
         events=4,
         work_s=0.0,
+        fatal_requests=(),
     ):
         self.replica_id = replica_id
         self.events = events
@@ -68,10 +78,17 @@
         self._common_oddities = common_oddities
         self._common_runs = common_runs
         self._work_s = work_s
+        self._fatal_requests = fatal_requests
+        self._life = anyio.CancelScope()
+
+    async def serve(self, *, task_status, port=0):
+        """Serve on loopback until a crash; report the address."""
+        with self._life:
+            await http.serve(self._answer, task_status=task_status, port=port)
 
-    async def serve(self, *, task_status):
-        """Serve on loopback until cancelled; report the address."""
-        await http.serve(self._answer, task_status=task_status)
+    def crash(self):
+        """Close the listener and all connections at once."""
+        self._life.cancel()
 
     async def _answer(self, request, connection):
         self.arrivals.append(request)
@@ -97,6 +114,11 @@
     async def _run(self, request, connection, oddity):
         run = Run(request=request)
         self._common_runs.append(run)
+        for fatal in self._fatal_requests:
+            if request.body == fatal.body:
+                await anyio.sleep(fatal.after_s)
+                self.crash()
+                await anyio.sleep_forever()
         if 'text/event-stream' in request.headers.get('accept', ''):
             await self._stream(request, connection, oddity, run)
             return
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/calls.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/calls.py
@@ -13,7 +13,10 @@
 
 @dataclasses.dataclass(kw_only=True)
 class Call:
-    """Hold one request on its way through this entry."""
+    """Hold one request on its way through this entry.
+
+    ``content`` is a digest that further attempts of the caller share.
+    """
 
     request: requests.CallerRequest
     body: bytes
@@ -21,6 +24,7 @@
     route: catalogue_models.Route
     team: catalogue_models.Team | None
     service_name: str
+    content: bytes
     ledger: forwarding_ledger.RequestLedger
     arrived_s: float
     ends_s: float
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/conf.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/conf.py
@@ -17,6 +17,14 @@
 # better than one of ours, so it gets the time of a round trip.
 DEADLINE_GRACE_S = 0.06
 
+# A target whose connection broke is asked for another at once; its VM is
+# 1 to 8 ms away, and the request's next try waits for the answer.
+CRASH_PROBE_TIMEOUT_S = 0.1
+
+# A process that ends closes all its sockets within some ten milliseconds.
+CRASH_PROBE_DELAY_S = 0.1
+LATER_PROBES_LIMIT = 64
+
 # Bounds an answer that is held until it is whole.
 ANSWER_LIMIT_BYTES = 16 * 1024 * 1024
 
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/daemon.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/daemon.py
@@ -14,6 +14,7 @@
 from savoryyoke_edge import servers
 from savoryyoke_gateway import application
 from savoryyoke_gateway import conf
+from savoryyoke_gateway import crashes
 from savoryyoke_gateway import dispatching
 from savoryyoke_gateway import exceptions
 from savoryyoke_gateway import following
@@ -67,6 +68,7 @@
         self._dispatching = dispatching.Dispatching(
             own_data_centre=settings.data_centre, draw=draw, clock=clock
         )
+        self._crashes = crashes.CrashWatch(metrics=self._metrics, clock=clock)
         self.knowledge = knowledge.Knowledge(
             interpreter=interpreter, clock=clock, on_change=self._publish
         )
@@ -97,6 +99,7 @@
                 allowances=self._allowances,
                 translator=translator,
                 metrics=self._metrics,
+                crashes=self._crashes,
                 draw=draw,
                 clock=clock,
             ),
@@ -163,6 +166,7 @@
             group.start_soon(self._watch_signals)
             group.start_soon(self.peering.run)
             group.start_soon(self._follower.run)
+            group.start_soon(self._crashes.run)
             group.start_soon(server.serve, listeners)
             await self._stopping.run(
                 count_in_flight=lambda: self._front.in_flight,
@@ -203,6 +207,7 @@
 
     def _publish(self, publication):
         """Put published facts in force."""
+        self._crashes.note_targets(publication.targets)
         catalogue = publication.catalogue
         if catalogue is None:
             return
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/exceptions.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/exceptions.py
@@ -6,7 +6,14 @@
 
 
 class TargetUnreachable(GatewayError):
-    """Report that no connection to a target could be opened."""
+    """Report that no connection to a target could be opened.
+
+    ``is_refused`` tells that its VM answered that nothing listens there.
+    """
+
+    def __init__(self, reason, *, is_refused):
+        super().__init__(reason)
+        self.is_refused = is_refused
 
 
 class ExchangeBroken(GatewayError):
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/exchanges.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/exchanges.py
@@ -30,7 +30,9 @@
                 self._target.host, self._target.port, timeout=timeout_s
             )
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
-            raise exceptions.TargetUnreachable(type(error).__name__) from error
+            raise exceptions.TargetUnreachable(
+                type(error).__name__, is_refused=_is_refusal(error)
+            ) from error
 
     async def send(self, *, method, target, headers, body, silence_s):
         """Send a request and return the status and headers of its answer.
@@ -77,6 +79,15 @@
             await self._stream.aclose()
 
 
+def _is_refusal(error):
+    """Return whether an error was caused by a refused connection."""
+    while error is not None:
+        if isinstance(error, ConnectionRefusedError):
+            return True
+        error = error.__cause__
+    return False
+
+
 def _describe_body(method, body):
     """Return the header that states the length, where there is a body."""
     if not body and method not in _METHODS_WITH_BODY:
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/forwarder.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/forwarder.py
@@ -12,6 +12,7 @@
 from savoryyoke.placement import events as placement_events
 from savoryyoke.placement import lateness
 from savoryyoke.placement import returns
+from savoryyoke.quarantine import fingerprints
 
 from savoryyoke_gateway import calls
 from savoryyoke_gateway import conf
@@ -39,6 +40,7 @@
         allowances,
         translator,
         metrics,
+        crashes,
         draw,
         clock,
     ):
@@ -59,6 +61,7 @@
             translator=translator,
             reporter=self._reporter,
             place_again=self._place_again,
+            crashes=crashes,
             clock=clock,
         )
         self._patience = lateness.CallerPatience()
@@ -108,13 +111,21 @@
         time_left_s = route.timeout_s
         if request.time_left_s is not None:
             time_left_s = min(time_left_s, request.time_left_s)
+        service_name = self._choose_service(route)
         return calls.Call(
             request=request,
             body=body,
             channel=channel,
             route=route,
             team=team,
-            service_name=self._choose_service(route),
+            service_name=service_name,
+            content=fingerprints.compute_content_digest(
+                service=service_name,
+                caller=team.name if team else '',
+                method=request.method,
+                target=request.target,
+                body=body,
+            ),
             ledger=forwarding_ledger.RequestLedger(
                 may_repeat=route.may_repeat,
                 attempts_limit=route.attempts_limit,
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/metrics.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/metrics.py
@@ -55,6 +55,16 @@
             registry=registry,
         )
 
+        self._crashes = prometheus_client.Counter(
+            'savoryyoke_gateway_target_crashes',
+            'Crashes of targets that this entry had requests at.',
+            registry=registry,
+        )
+
+    def count_crash(self):
+        """Count one crash of a target."""
+        self._crashes.inc()
+
     def count_request(self, *, service, outcome, duration_s):
         """Count one ended request."""
         self._requests.labels(service, outcome).inc()
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/reporting.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/reporting.py
@@ -62,6 +62,7 @@
             target=target.target_id,
             result=attempt.result.value,
             reason=attempt.reason,
+            content=call.content.hex(),
             after_s=self._clock() - attempt.started_s,
             first_byte_s=attempt.first_byte_s,
         )
@@ -75,6 +76,7 @@
             route=call.route.name,
             service=call.service_name,
             team=call.team.name if call.team else '',
+            content=call.content.hex(),
             outcome=call.outcome,
             reason=call.reason,
             status=call.status,
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/tries.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/tries.py
@@ -25,12 +25,20 @@
     """
 
     def __init__(
-        self, *, dispatching, translator, reporter, place_again, clock
+        self,
+        *,
+        dispatching,
+        translator,
+        reporter,
+        place_again,
+        crashes,
+        clock,
     ):
         self._dispatching = dispatching
         self._translator = translator
         self._reporter = reporter
         self._place_again = place_again
+        self._crashes = crashes
         self._clock = clock
 
     async def run(self, call, placed, resume_after):
@@ -55,8 +63,10 @@
         target_id = target.target_id
         try:
             await exchange.connect()
-        except exceptions.TargetUnreachable:
+        except exceptions.TargetUnreachable as error:
             attempt.result = _Result.UNREACHABLE
+            if error.is_refused:
+                self._crashes.note_refused(target)
             return call.ledger.apply(events.Unreachable(target_id=target_id))
         try:
             head = await self._send(
@@ -86,6 +96,7 @@
                 else _Result.BROKEN
             )
             attempt.reason = error.reason
+            await self._crashes.examine(call, target, reason=error.reason)
             return call.ledger.apply(
                 events.TryBroken(target_id=target_id, reason=error.reason)
             )
@@ -213,6 +224,8 @@
         held_s = None
         if attempt.result is _Result.ANSWERED:
             held_s = self._clock() - attempt.started_s
+        elif attempt.result is _Result.WITHDRAWN and attempt.sent_s:
+            self._crashes.note_given_up(call, target)
         self._dispatching.end_try(
             call.service_name,
             placement_events.TryEnded(
--- a/packages/savoryyoke/savoryyoke/quarantine/conf.py
+++ b/packages/savoryyoke/savoryyoke/quarantine/conf.py
@@ -10,6 +10,12 @@
     {'idempotency_key', 'metadata', 'request_id', 'stream', 'user'}
 )
 
+# A try that ended without an answer counts as part of a crash that is
+# noticed within this time. The users' targets are listed or reached again
+# two to four seconds after a crash.
+LOST_TRY_MEMORY_S = 5.0
+LOST_TRIES_LIMIT = 256
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class QuarantinePolicy:
--- a/packages/savoryyoke/savoryyoke/quarantine/events.py
+++ b/packages/savoryyoke/savoryyoke/quarantine/events.py
@@ -63,3 +63,30 @@
     """Report that a heartbeat has room for ``report_limit`` reports."""
 
     report_limit: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class TryLost:
+    """Report at an entry a try that a target did not answer in full.
+
+    ``target`` is a ``placement.models.Target``. ``is_broken`` is false where
+    the entry or its caller gave up while the connection was sound.
+    """
+
+    target: object
+    fingerprint: bytes
+    is_broken: bool
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ConnectionRefused:
+    """Report that nothing listens at a target's address."""
+
+    target: object
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class TargetsListed:
+    """Report all targets that are published."""
+
+    targets: tuple
--- a/packages/savoryyoke/savoryyoke/quarantine/fingerprints.py
+++ b/packages/savoryyoke/savoryyoke/quarantine/fingerprints.py
@@ -21,6 +21,20 @@
     return digest.digest()
 
 
+def compute_content_digest(*, service, caller, method, target, body):
+    """Return the digest of a request as an HTTP caller sent it.
+
+    ``target`` is the path with its query; ``caller`` names the team, or is
+    empty. Headers are left out, since callers change some of them with each
+    attempt; the body counts byte by byte.
+    """
+    digest = hashlib.blake2b(digest_size=conf.FINGERPRINT_BYTES)
+    for part in (service.encode(), caller.encode(), method, target, body):
+        digest.update(len(part).to_bytes(8, 'big'))
+        digest.update(part)
+    return digest.digest()
+
+
 def _normalize(body, ignored_fields):
     try:
         content = json.loads(body)
