Withhold requests that crash each target that runs them

Cause: what an entry knows of a request's tries ends with its id, and a caller's next attempt has a new one. The quarantine that the library has for this was only fed by the process beside a target, which the users' platform has no place for; the note on it said 'not yet'.

Evidence: with one entry alone, which logged each crash with the same content, the sends went on (24 in 8 s). Payments, which entries never repeat, arrived as often as lookups.

Change: entries report the contents that were at a crashed target, merge each other's reports through heartbeats, and withhold a request from the releases that it crashed. A request is known by content, not by id, so the account lives as long as the evidence. One crash is one report whoever makes it, since its name is the target's incarnation.

--- a/packages/savoryyoke-gateway/savoryyoke_gateway/calls.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/calls.py
@@ -15,7 +15,8 @@
 class Call:
     """Hold one request on its way through this entry.
 
-    ``content`` is a digest that further attempts of the caller share.
+    ``content`` is a digest that further attempts of the caller share;
+    targets that run one of ``withheld_releases`` must not get it.
     """
 
     request: requests.CallerRequest
@@ -37,6 +38,7 @@
     outcome: str = 'caller-left'
     reason: str = ''
     retry_after_s: float | None = None
+    withheld_releases: frozenset[str] = frozenset()
 
     @property
     def is_stream(self):
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/conf.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/conf.py
@@ -25,6 +25,11 @@
 CRASH_PROBE_DELAY_S = 0.1
 LATER_PROBES_LIMIT = 64
 
+# Reports of crashes in one heartbeat. A report of 16 requests takes some
+# 0.4 KB; the other fields of a heartbeat take 4 KB of its 8 in large fleets.
+CRASH_REPORTS_PER_HEARTBEAT = 8
+CRASH_DIGESTS_PER_REPORT = 16
+
 # Bounds an answer that is held until it is whole.
 ANSWER_LIMIT_BYTES = 16 * 1024 * 1024
 
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/crashes.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/crashes.py
@@ -28,14 +28,16 @@
 
     A process that ends may close its connections before its listener, so a
     target that still takes a connection right after it broke one is tried
-    again a moment later.
+    again a moment later. ``suspects`` is told of each crash.
     """
 
-    def __init__(self, *, metrics, clock):
+    def __init__(self, *, suspects, metrics, clock):
+        self._suspects = suspects
         self._metrics = metrics
         self._clock = clock
-        policy = quarantine_conf.QuarantinePolicy()
-        self._detector = detection.CrashDetector(evidence_s=policy.evidence_s)
+        self._detector = detection.CrashDetector(
+            evidence_s=quarantine_conf.ENTRY_POLICY.evidence_s
+        )
         self._later, self._due = anyio.create_memory_object_stream(
             conf.LATER_PROBES_LIMIT
         )
@@ -107,10 +109,9 @@
                 level='warning',
                 crash=report.crash_id,
                 seen_by=type(event).__name__,
-                contents=format_contents(report.fingerprints),
+                release=report.release,
+                contents=','.join(
+                    sorted(x.hex() for x in report.fingerprints)
+                ),
             )
-
-
-def format_contents(fingerprints):
-    """Return the digests of requests as logs show them."""
-    return ','.join(sorted(x.hex() for x in fingerprints))
+            self._suspects.take_in((report,), source='own')
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/daemon.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/daemon.py
@@ -26,6 +26,7 @@
 from savoryyoke_gateway import retrying
 from savoryyoke_gateway import serving
 from savoryyoke_gateway import stopping
+from savoryyoke_gateway import suspects
 
 # Hold until the first configuration is known.
 _HEADER_TIMEOUT_S = 10.0
@@ -68,7 +69,10 @@
         self._dispatching = dispatching.Dispatching(
             own_data_centre=settings.data_centre, draw=draw, clock=clock
         )
-        self._crashes = crashes.CrashWatch(metrics=self._metrics, clock=clock)
+        self._suspects = suspects.Suspects(metrics=self._metrics, clock=clock)
+        self._crashes = crashes.CrashWatch(
+            suspects=self._suspects, metrics=self._metrics, clock=clock
+        )
         self.knowledge = knowledge.Knowledge(
             interpreter=interpreter, clock=clock, on_change=self._publish
         )
@@ -81,6 +85,7 @@
             settings=settings,
             knowledge=self.knowledge,
             dispatching=self._dispatching,
+            suspects=self._suspects,
             describe=self._describe,
             find_pause_s=self._find_pause_s,
             draw=draw,
@@ -100,6 +105,7 @@
                 translator=translator,
                 metrics=self._metrics,
                 crashes=self._crashes,
+                suspects=self._suspects,
                 draw=draw,
                 clock=clock,
             ),
@@ -265,6 +271,10 @@
                     'Requests that wait for a target.',
                     self._dispatching.queue_length,
                 ),
+                'quarantined': (
+                    'Requests that are quarantined for crashing targets.',
+                    self._suspects.quarantined_count,
+                ),
                 'peers': (
                     'Other entries that are heard.',
                     lambda: len(self.peering.table.alive(now_s=self._clock())),
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/dispatching.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/dispatching.py
@@ -121,6 +121,15 @@
         """Report the end of a try at a target."""
         self._apply(self._dispatchers_by_service[service_name], event)
 
+    def give_back(self, service_name, placed):
+        """Undo a placement whose request is not sent."""
+        self.end_try(service_name, _build_withdrawal(placed))
+
+    def releases(self, service_name):
+        """Return the releases that the targets of a service run."""
+        current = self._dispatchers_by_service.get(service_name)
+        return current.pool.releases() if current else frozenset()
+
     def holds_group_up(self, service_name, target_id):
         """Return whether a target is slower than most of its group."""
         current = self._dispatchers_by_service[service_name]
@@ -172,17 +181,20 @@
     def _give_back(self, current, request_id, waiter):
         """Undo a placement whose request was cancelled meanwhile."""
         if isinstance(waiter.decision, decisions.Place):
-            target = waiter.decision.target
-            event = events.TryEnded(
-                target_id=target.target_id,
-                incarnation=target.incarnation,
-                result=models.TryResult.WITHDRAWN,
-            )
+            event = _build_withdrawal(waiter.decision)
         else:
             event = events.RequestWithdrawn(request_id=request_id)
         self._apply(current, event)
 
 
+def _build_withdrawal(placed):
+    return events.TryEnded(
+        target_id=placed.target.target_id,
+        incarnation=placed.target.incarnation,
+        result=models.TryResult.WITHDRAWN,
+    )
+
+
 def _share_cold_rate(service, entries):
     if service is None or service.cold_limit is None:
         return None
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/forwarder.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/forwarder.py
@@ -41,12 +41,15 @@
         translator,
         metrics,
         crashes,
+        suspects,
         draw,
         clock,
     ):
         self._knowledge = knowledge
         self._dispatching = dispatching
         self._allowances = allowances
+        self._suspects = suspects
+        self._metrics = metrics
         self._translator = translator
         self._draw = draw
         self._clock = clock
@@ -62,6 +65,7 @@
             reporter=self._reporter,
             place_again=self._place_again,
             crashes=crashes,
+            suspects=suspects,
             clock=clock,
         )
         self._patience = lateness.CallerPatience()
@@ -155,6 +159,8 @@
 
     async def _forward(self, call):
         """Place the request and return the final decision on it."""
+        if self._is_quarantined(call):
+            return decisions.Refuse(reason=call.reason)
         placed = await self._place(call)
         if isinstance(placed, placement_decisions.Refuse):
             call.reason = placed.reason.value
@@ -163,6 +169,12 @@
         self._allowances.note_request(call.service_name)
         resume_after = call.request.resume_after
         while True:
+            # What other entries have seen may have come since the placement.
+            if self._is_quarantined(call, release=placed.target.release):
+                self._dispatching.give_back(call.service_name, placed)
+                return call.ledger.apply(
+                    events.NoOtherTarget(reason=call.reason)
+                )
             decision = await self._tries.run(call, placed, resume_after)
             if isinstance(decision, calls.Move):
                 placed, decision = decision.placed, decision.decision
@@ -171,9 +183,31 @@
             else:
                 return decision
             if placed is None:
-                return call.ledger.apply(events.NoOtherTarget())
+                return call.ledger.apply(
+                    events.NoOtherTarget(reason=call.reason)
+                )
             resume_after = decision.resume_after or call.request.resume_after
 
+    def _is_quarantined(self, call, *, release=None):
+        """Return whether the request must not go to a release of its service.
+
+        Without ``release``, all that its service runs are meant.
+        """
+        withhold = self._suspects.find_withheld(call)
+        if withhold is None:
+            call.withheld_releases = frozenset()
+            return False
+        call.withheld_releases = withhold.releases
+        wanted = {release}
+        if release is None:
+            wanted = self._dispatching.releases(call.service_name)
+        if not wanted <= withhold.releases:
+            return False
+        call.reason = 'quarantined'
+        call.retry_after_s = withhold.retry_after_s
+        self._metrics.count_withheld(service=call.service_name)
+        return True
+
     async def _place(self, call):
         now_s = self._clock()
         spent_s = self._patience.note(
@@ -187,6 +221,7 @@
             wait_until_s=self._choose_wait_end_s(call, is_on_time),
             time_left_s=max(call.ends_s - now_s, 0.0),
             regions=call.regions,
+            withheld_releases=call.withheld_releases,
         )
         placed = await self._dispatching.place(call.service_name, arrival)
         call.waited_s = self._clock() - now_s
@@ -211,6 +246,9 @@
         """Return the placement of a repetition, or None if there is none."""
         time_left_s = call.ends_s - self._clock()
         if time_left_s < forwarding_conf.SHORTEST_TRY_S:
+            call.reason = 'no-time'
+            return None
+        if self._is_quarantined(call):
             return None
         if decision.is_repeat and not self._allowances.take(call.service_name):
             call.reason = 'retry-limit'
@@ -222,6 +260,7 @@
                 tried_target_ids=decision.tried_target_ids,
                 time_left_s=time_left_s,
                 regions=call.regions,
+                withheld_releases=call.withheld_releases,
             ),
         )
         if isinstance(placed, placement_decisions.Refuse):
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/metrics.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/metrics.py
@@ -61,6 +61,26 @@
             registry=registry,
         )
 
+        self._quarantined = prometheus_client.Counter(
+            'savoryyoke_gateway_quarantined_requests',
+            'Requests that have been quarantined for crashing targets.',
+            registry=registry,
+        )
+        self._withheld = prometheus_client.Counter(
+            'savoryyoke_gateway_withheld_requests',
+            'Attempts refused since their request is quarantined.',
+            ['service'],
+            registry=registry,
+        )
+
+    def count_quarantined(self):
+        """Count one request that is quarantined anew."""
+        self._quarantined.inc()
+
+    def count_withheld(self, *, service):
+        """Count one attempt that was refused for its request."""
+        self._withheld.labels(service).inc()
+
     def count_crash(self):
         """Count one crash of a target."""
         self._crashes.inc()
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/peering.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/peering.py
@@ -1,5 +1,6 @@
 """Exchange heartbeats and views of published values with other entries."""
 
+import dataclasses
 import itertools
 import socket
 
@@ -33,6 +34,7 @@
         settings,
         knowledge,
         dispatching,
+        suspects,
         describe,
         find_pause_s,
         draw,
@@ -41,6 +43,7 @@
         self._settings = settings
         self._knowledge = knowledge
         self._dispatching = dispatching
+        self._suspects = suspects
         self._describe = describe
         self._find_pause_s = find_pause_s
         self._clock = clock
@@ -87,6 +90,9 @@
                 while True:
                     await self._send_heartbeats()
                     self._drop_silent_peers()
+                    self._suspects.note_peers(
+                        self.table.alive(now_s=self._clock())
+                    )
                     self._knowledge.expire()
                     self._publish_paces()
                     self._dispatching.tick()
@@ -101,12 +107,27 @@
         )
         if heartbeat is None:
             return
-        packed = fleet.encode_heartbeat(heartbeat)
+        packed = self._encode(heartbeat)
         # One task at a time may use the socket.
         async with self._sending:
             for host in self.table.contact_hosts(now_s=self._clock()):
                 await self._send_to(packed, host)
 
+    @staticmethod
+    def _encode(heartbeat):
+        """Return the datagram, without reports of crashes if need be."""
+        try:
+            return fleet.encode_heartbeat(heartbeat)
+        except wire_exceptions.LimitExceeded as error:
+            if not heartbeat.crashes:
+                raise
+            logs.write_event(
+                'crash_reports_not_sent', level='warning', reason=str(error)
+            )
+            return fleet.encode_heartbeat(
+                dataclasses.replace(heartbeat, crashes=())
+            )
+
     async def _send_to(self, packed, host):
         try:
             await self._socket.sendto(packed, host, self._settings.peer_port)
@@ -136,6 +157,10 @@
             ),
             contact_hosts=self.table.hosts_alive(now_s=self._clock()),
             slow_targets=self._slow_targets.to_pass_on(now_s=self._clock()),
+            evidence_digest=self._suspects.digest(),
+            crashes=self._suspects.reports_due(
+                self.table.alive(now_s=self._clock())
+            ),
         )
 
     async def _receive_heartbeats(self):
@@ -164,6 +189,7 @@
         self._slow_targets.note_passed(
             heartbeat.slow_targets, now_s=self._clock()
         )
+        self._suspects.take_in(heartbeat.crashes, source=heartbeat.sender_id)
         if heartbeat.sender_id not in self._names_alive:
             self._names_alive.add(heartbeat.sender_id)
             logs.write_event(
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/tries.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/tries.py
@@ -32,6 +32,7 @@
         reporter,
         place_again,
         crashes,
+        suspects,
         clock,
     ):
         self._dispatching = dispatching
@@ -39,6 +40,7 @@
         self._reporter = reporter
         self._place_again = place_again
         self._crashes = crashes
+        self._suspects = suspects
         self._clock = clock
 
     async def run(self, call, placed, resume_after):
@@ -224,6 +226,7 @@
         held_s = None
         if attempt.result is _Result.ANSWERED:
             held_s = self._clock() - attempt.started_s
+            self._suspects.note_answered(call, target)
         elif attempt.result is _Result.WITHDRAWN and attempt.sent_s:
             self._crashes.note_given_up(call, target)
         self._dispatching.end_try(
--- a/packages/savoryyoke-wire/savoryyoke_wire/fleet.capnp
+++ b/packages/savoryyoke-wire/savoryyoke_wire/fleet.capnp
@@ -11,6 +11,14 @@
   pace @1 :Float32;
 }
 
+struct Crash {
+  crashId @0 :Text;
+  release @1 :Text;
+  fingerprints @2 :List(Data);
+  cleared @3 :List(Data);
+  remainingS @4 :Float64;
+}
+
 struct Heartbeat {
   version @0 :UInt16;
   senderId @1 :Text;
@@ -25,6 +33,8 @@
   inFlight @10 :List(InFlight);
   contactHosts @11 :List(Text);
   slowTargets @12 :List(SlowTarget);
+  evidenceDigest @13 :UInt64;
+  crashes @14 :List(Crash);
 }
 
 struct Item {
--- a/packages/savoryyoke-wire/savoryyoke_wire/fleet.py
+++ b/packages/savoryyoke-wire/savoryyoke_wire/fleet.py
@@ -6,6 +6,7 @@
 
 from savoryyoke.peers import messages
 from savoryyoke.published import models
+from savoryyoke.quarantine import evidence
 from savoryyoke_wire import conf
 from savoryyoke_wire import exceptions
 
@@ -31,6 +32,7 @@
         isLeaving=heartbeat.is_leaving,
         publishedAsOf=heartbeat.published_as_of,
         contactHosts=list(heartbeat.contact_hosts),
+        evidenceDigest=heartbeat.evidence_digest,
     )
     counts = message.init('inFlight', len(heartbeat.in_flight))
     for item, count in zip(counts, heartbeat.in_flight, strict=True):
@@ -40,6 +42,13 @@
     for item, target in zip(slow, heartbeat.slow_targets, strict=True):
         item.address = target.address
         item.pace = target.pace
+    crashes = message.init('crashes', len(heartbeat.crashes))
+    for item, report in zip(crashes, heartbeat.crashes, strict=True):
+        item.crashId = report.crash_id
+        item.release = report.release
+        item.fingerprints = sorted(report.fingerprints)
+        item.cleared = sorted(report.cleared)
+        item.remainingS = report.remaining_s
     packed = message.to_bytes_packed()
     if len(packed) > conf.DATAGRAM_LIMIT_BYTES:
         raise exceptions.LimitExceeded(f'datagram of {len(packed)} bytes')
@@ -74,6 +83,8 @@
                 messages.SlowTarget(address=x.address, pace=x.pace)
                 for x in message.slowTargets
             ),
+            evidence_digest=message.evidenceDigest,
+            crashes=tuple(_read_crash(x) for x in message.crashes),
         )
     except (capnp.KjException, UnicodeDecodeError) as error:
         raise _malformed(error) from error
@@ -110,6 +121,16 @@
         raise _malformed(error) from error
 
 
+def _read_crash(message):
+    return evidence.CrashReport(
+        crash_id=message.crashId,
+        release=message.release,
+        fingerprints=frozenset(bytes(x) for x in message.fingerprints),
+        cleared=frozenset(bytes(x) for x in message.cleared),
+        remaining_s=message.remainingS,
+    )
+
+
 def _read(structure, packed):
     try:
         message = structure.from_bytes_packed(
--- a/packages/savoryyoke-wire/tests/test_fleet.py
+++ b/packages/savoryyoke-wire/tests/test_fleet.py
@@ -4,6 +4,7 @@
 
 from savoryyoke.peers import messages
 from savoryyoke.published import models
+from savoryyoke.quarantine import evidence
 
 from savoryyoke_wire import conf
 from savoryyoke_wire import exceptions
@@ -21,6 +22,16 @@
     published_as_of=29,
     in_flight=(messages.InFlight(target_id='t1', requests=3),),
     contact_hosts=('10.0.0.2', '10.0.0.3'),
+    evidence_digest=2**64 - 1,
+    crashes=(
+        evidence.CrashReport(
+            crash_id='t2/5',
+            fingerprints=frozenset({b'one', b'two'}),
+            cleared=frozenset({b'two'}),
+            remaining_s=3599.9,
+            release='v1+m@2',
+        ),
+    ),
 )
 SNAPSHOT = models.Snapshot(
     as_of=9,
--- a/packages/savoryyoke/savoryyoke/forwarding/events.py
+++ b/packages/savoryyoke/savoryyoke/forwarding/events.py
@@ -66,7 +66,9 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class NoOtherTarget:
-    """Report that no further target can be had for a repetition."""
+    """Report that no further target can be had, and why."""
+
+    reason: str = 'no-other-target'
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/savoryyoke/savoryyoke/forwarding/ledger.py
+++ b/packages/savoryyoke/savoryyoke/forwarding/ledger.py
@@ -105,7 +105,7 @@
 
     @apply.register
     def _(self, event: events.NoOtherTarget):
-        return self._conclude('no-other-target')
+        return self._conclude(event.reason)
 
     @apply.register
     def _(self, event: events.TimeRanOut):
--- a/packages/savoryyoke/savoryyoke/peers/messages.py
+++ b/packages/savoryyoke/savoryyoke/peers/messages.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from savoryyoke.quarantine import evidence
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class InFlight:
@@ -28,6 +30,8 @@
     ``published_as_of`` is the revision of the entry's view of published
     values, ``contact_hosts`` are hosts of entries that it hears, and
     ``slow_targets`` are those that it has heard of from their own VMs.
+    ``evidence_digest`` sums up what it knows of crashes; ``crashes`` are the
+    reports that some entry seems to lack.
     """
 
     sender_id: str
@@ -42,3 +46,5 @@
     in_flight: tuple[InFlight, ...]
     contact_hosts: tuple[str, ...]
     slow_targets: tuple[SlowTarget, ...] = ()
+    evidence_digest: int = 0
+    crashes: tuple[evidence.CrashReport, ...] = ()
--- a/packages/savoryyoke/savoryyoke/placement/dispatcher.py
+++ b/packages/savoryyoke/savoryyoke/placement/dispatcher.py
@@ -98,6 +98,7 @@
             now_s=now_s,
             regions=event.regions,
             excluded=event.tried_target_ids,
+            withheld_releases=event.withheld_releases,
         )
         if target is None:
             return [self._refuse(event, _Reason.NO_OTHER_TARGET)]
@@ -105,7 +106,9 @@
 
     @_apply.register
     def _(self, event: events.RequestArrived, now_s):
-        if not self._pool.serves(regions=event.regions):
+        if not self._pool.serves(
+            regions=event.regions, withheld_releases=event.withheld_releases
+        ):
             return self._wait_for_service(event, now_s)
         waiting = self._enqueue(event, now_s)
         made = self._pump(now_s)
@@ -136,7 +139,11 @@
             if now_s >= arrival.wait_until_s:
                 made.append(self._refuse(arrival, _Reason.WAITED_TOO_LONG))
                 continue
-            target = self._pool.choose(now_s=now_s, regions=arrival.regions)
+            target = self._pool.choose(
+                now_s=now_s,
+                regions=arrival.regions,
+                withheld_releases=arrival.withheld_releases,
+            )
             if target is None:
                 left.append(waiting)
                 continue
--- a/packages/savoryyoke/savoryyoke/placement/events.py
+++ b/packages/savoryyoke/savoryyoke/placement/events.py
@@ -35,7 +35,7 @@
     those that can't, then lower ``priority`` ranks before higher ones. The
     request is refused when it is not placed by ``wait_until_s``.
     ``time_left_s`` is what its caller has left. An empty ``regions`` allows
-    every region.
+    every region. Targets that run one of ``withheld_releases`` are left out.
     """
 
     request_id: str
@@ -44,16 +44,21 @@
     wait_until_s: float
     time_left_s: float
     regions: frozenset[str] = frozenset()
+    withheld_releases: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class RepeatAsked:
-    """Ask for another target for a request that a target did not serve."""
+    """Ask for another target for a request that a target did not serve.
+
+    Fields of the same name mean what they mean in ``RequestArrived``.
+    """
 
     request_id: str
     tried_target_ids: frozenset[str]
     time_left_s: float
     regions: frozenset[str] = frozenset()
+    withheld_releases: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/savoryyoke/savoryyoke/placement/models.py
+++ b/packages/savoryyoke/savoryyoke/placement/models.py
@@ -10,6 +10,7 @@
 
     ``incarnation`` changes with each start of the target's process, and
     ``revision`` is that of its published entry.
+    ``release`` names the version of what it runs.
     ``is_in_service`` is false while it can't run anything, such as a rank
     of a group that is not complete.
     """
@@ -25,6 +26,7 @@
     is_draining: bool
     is_in_service: bool
     revision: int = 0
+    release: str = ''
 
 
 class TryResult(enum.Enum):
--- a/packages/savoryyoke/savoryyoke/placement/pool.py
+++ b/packages/savoryyoke/savoryyoke/placement/pool.py
@@ -136,9 +136,16 @@
         state.own_in_flight = max(state.own_in_flight - 1, 0)
         state.health.note(event.result, latency_s=event.latency_s, now_s=now_s)
 
-    def serves(self, *, regions=frozenset()):
+    def releases(self):
+        """Return the releases that the targets run."""
+        return frozenset(x.target.release for x in self._all_states())
+
+    def serves(self, *, regions=frozenset(), withheld_releases=frozenset()):
         """Return whether any target could run a request at all."""
-        return any(self._is_usable(x, regions) for x in self._all_states())
+        return any(
+            self._is_usable(x, regions, withheld_releases)
+            for x in self._all_states()
+        )
 
     def lists(self, *, regions=frozenset()):
         """Return whether any target may come into service."""
@@ -148,13 +155,20 @@
             for state in self._all_states()
         )
 
-    def choose(self, *, now_s, regions=frozenset(), excluded=frozenset()):
+    def choose(
+        self,
+        *,
+        now_s,
+        regions=frozenset(),
+        excluded=frozenset(),
+        withheld_releases=frozenset(),
+    ):
         """Return the best target with room, or None."""
         ranked = [
             (self._score(state, now_s), self._draw(), state.target)
             for state in self._all_states()
             if state.target.target_id not in excluded
-            and self._is_usable(state, regions)
+            and self._is_usable(state, regions, withheld_releases)
             and self._has_room(state, now_s)
         ]
         if not ranked:
@@ -165,12 +179,13 @@
         return self._states_by_id.values()
 
     @staticmethod
-    def _is_usable(state, regions):
+    def _is_usable(state, regions, withheld_releases):
         target = state.target
         return (
             target.is_in_service
             and not target.is_draining
             and (not regions or target.region in regions)
+            and target.release not in withheld_releases
         )
 
     def _has_room(self, state, now_s):
--- a/packages/savoryyoke/savoryyoke/quarantine/aggregates.py
+++ b/packages/savoryyoke/savoryyoke/quarantine/aggregates.py
@@ -1,6 +1,7 @@
 """Decide which requests run, run in isolation or are refused for good."""
 
 import collections
+import dataclasses
 import functools
 
 from savoryyoke.quarantine import conf
@@ -12,19 +13,35 @@
 _Status = evidence.Status
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Retrial:
+    call_id: str
+    began_s: float
+
+
 class Quarantine:
     """Track requests that crash back ends, at an entry or a target.
 
-    Both roles hold the same mergeable evidence. An entry asks with
+    All roles hold the same mergeable evidence. An entry asks with
     CallOffered, a target with RunRequested right before a start. A target
     runs one suspect at a time, beside calls that are clear.
+
+    An entry that calls back ends without a process of ours beside them asks
+    with SendOffered. It withholds a quarantined request from the releases
+    that it crashed, so that it may run on another one.
     """
 
     def __init__(self, *, policy=None):
         self._policy = policy or conf.QuarantinePolicy()
         self._evidence = evidence.Evidence(policy=self._policy)
         self._fingerprints_by_call_id = {}
-        self._succeeded_s_by_fingerprint = collections.OrderedDict()
+        self._succeeded_s_by_key = collections.OrderedDict()
+        self._retrials_by_fingerprint = {}
+
+    @property
+    def evidence(self):
+        """Return the evidence, to be read only."""
+        return self._evidence
 
     def status(self, fingerprint):
         """Return the present status of a request."""
@@ -54,6 +71,32 @@
             return (decisions.Isolate(call_id=event.call_id, reports=reports),)
         return (decisions.Route(call_id=event.call_id),)
 
+    @_apply.register
+    def _(self, event: events.SendOffered, now_s):
+        if self.status(event.fingerprint) is not _Status.QUARANTINED:
+            return (decisions.Route(call_id=event.call_id),)
+        record = self._evidence.record(event.fingerprint)
+        left_s = record.newest_s + self._retrial_after_s(record) - now_s
+        if left_s <= 0 and self._begin_retrial(event, now_s):
+            return (decisions.Route(call_id=event.call_id),)
+        return (
+            decisions.Withhold(
+                fingerprint=event.fingerprint,
+                releases=record.releases,
+                crashes=record.crashes,
+                retry_after_s=max(left_s, self._policy.retrial_timeout_s),
+            ),
+        )
+
+    @_apply.register
+    def _(self, event: events.PeersHeard, now_s):
+        self._evidence.set_threshold(
+            self._policy.crashes_to_quarantine
+            if event.count
+            else self._policy.crashes_when_alone
+        )
+        return ()
+
     @_apply.register
     def _(self, event: events.RunRequested, now_s):
         stopped = self._merge(event.reports, now_s)
@@ -76,12 +119,12 @@
     def _(self, event: events.RunEnded, now_s):
         fingerprint = self._fingerprints_by_call_id.pop(event.call_id, None)
         if fingerprint is not None and event.succeeded:
-            self._note_success(fingerprint, now_s)
+            self._note_success(fingerprint, '', now_s)
         return ()
 
     @_apply.register
     def _(self, event: events.CallSucceeded, now_s):
-        self._note_success(event.fingerprint, now_s)
+        self._note_success(event.fingerprint, event.release, now_s)
         return ()
 
     @_apply.register
@@ -128,8 +171,8 @@
         self._forget_successes(now_s)
         for report in changed:
             for fingerprint in report.fingerprints:
-                if fingerprint in self._succeeded_s_by_fingerprint:
-                    self._evidence.clear(fingerprint)
+                if (fingerprint, report.release) in self._succeeded_s_by_key:
+                    self._evidence.clear(fingerprint, release=report.release)
         return tuple(
             decisions.StopRun(call_id=call_id)
             for call_id, fingerprint in self._fingerprints_by_call_id.items()
@@ -151,18 +194,39 @@
             if self.status(fingerprint) is _Status.SUSPECT
         )
 
-    def _note_success(self, fingerprint, now_s):
-        self._evidence.clear(fingerprint)
-        self._succeeded_s_by_fingerprint[fingerprint] = now_s
-        self._succeeded_s_by_fingerprint.move_to_end(fingerprint)
+    def _retrial_after_s(self, record):
+        doublings = record.crashes - self._policy.crashes_to_quarantine
+        return min(
+            self._policy.retrial_s * 2.0 ** max(doublings, 0),
+            self._policy.retrial_longest_s,
+        )
+
+    def _begin_retrial(self, event, now_s):
+        """Return whether this call may try a quarantined request again."""
+        oldest_s = now_s - self._policy.retrial_timeout_s
+        self._retrials_by_fingerprint = {
+            fingerprint: retrial
+            for fingerprint, retrial in self._retrials_by_fingerprint.items()
+            if retrial.began_s > oldest_s
+        }
+        retrial = self._retrials_by_fingerprint.setdefault(
+            event.fingerprint, _Retrial(call_id=event.call_id, began_s=now_s)
+        )
+        return retrial.call_id == event.call_id
+
+    def _note_success(self, fingerprint, release, now_s):
+        self._evidence.clear(fingerprint, release=release)
+        key = (fingerprint, release)
+        self._succeeded_s_by_key[key] = now_s
+        self._succeeded_s_by_key.move_to_end(key)
         self._forget_successes(now_s)
 
     def _forget_successes(self, now_s):
-        successes = self._succeeded_s_by_fingerprint
+        successes = self._succeeded_s_by_key
         oldest_s = now_s - self._policy.success_memory_s
         while successes:
-            fingerprint, succeeded_s = next(iter(successes.items()))
+            key, succeeded_s = next(iter(successes.items()))
             if len(successes) <= self._policy.success_limit:
                 if succeeded_s > oldest_s:
                     break
-            del successes[fingerprint]
+            del successes[key]
--- a/packages/savoryyoke/savoryyoke/quarantine/decisions.py
+++ b/packages/savoryyoke/savoryyoke/quarantine/decisions.py
@@ -32,6 +32,20 @@
     crashes: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Withhold:
+    """Send the request to no target that runs one of ``releases``.
+
+    ``retry_after_s`` is the time until it may be tried there again, after
+    ``crashes``.
+    """
+
+    fingerprint: bytes
+    releases: frozenset[str]
+    crashes: int
+    retry_after_s: float
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Run:
     """Hand the call to the back end."""
--- a/packages/savoryyoke/savoryyoke/quarantine/detection.py
+++ b/packages/savoryyoke/savoryyoke/quarantine/detection.py
@@ -93,6 +93,7 @@
             crash_id=f'{target.target_id}/{target.incarnation}',
             fingerprints=frozenset(x.fingerprint for x in lost),
             remaining_s=self._evidence_s,
+            release=target.release,
         )
         return (report,)
 
--- a/packages/savoryyoke/savoryyoke/quarantine/events.py
+++ b/packages/savoryyoke/savoryyoke/quarantine/events.py
@@ -13,11 +13,30 @@
     fingerprint: bytes
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class SendOffered:
+    """Report a call that an entry is about to send to a target itself."""
+
+    call_id: str
+    fingerprint: bytes
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class CallSucceeded:
-    """Report at an entry that a back end answered a call in full."""
+    """Report at an entry that a back end answered a call in full.
+
+    ``release`` is what the back end ran.
+    """
 
     fingerprint: bytes
+    release: str = ''
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class PeersHeard:
+    """Report how many other processes with evidence are heard."""
+
+    count: int
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/savoryyoke/savoryyoke/quarantine/evidence.py
+++ b/packages/savoryyoke/savoryyoke/quarantine/evidence.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 import enum
+import hashlib
 
 
 class Status(enum.Enum):
@@ -18,13 +19,28 @@
     """Describe one crash of one back end for other processes.
 
     ``fingerprints`` were in flight; those in ``cleared`` have succeeded
-    since. ``remaining_s`` is how long the evidence is still kept.
+    since. ``remaining_s`` is how long the evidence is still kept and
+    ``release`` the version of what the back end ran.
     """
 
     crash_id: str
     fingerprints: frozenset[bytes]
     cleared: frozenset[bytes] = frozenset()
     remaining_s: float
+    release: str = ''
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Record:
+    """Sum up the crashes that a request may have caused.
+
+    ``releases`` are those it crashed; ``newest_s`` is when the last of its
+    ``crashes`` happened.
+    """
+
+    releases: frozenset[str]
+    crashes: int
+    newest_s: float
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -32,6 +48,7 @@
     fingerprints: frozenset[bytes]
     cleared: frozenset[bytes]
     expires_s: float
+    release: str
     times_sent: int = 0
 
     @property
@@ -51,7 +68,14 @@
         self._policy = policy
         self._crashes_by_id = {}
         self._crash_ids_by_fingerprint = collections.defaultdict(set)
-        self._status_by_fingerprint = None
+        self._crashes_to_quarantine = policy.crashes_to_quarantine
+        self._forget_derived()
+
+    def set_threshold(self, crashes_to_quarantine):
+        """Change how many crashes quarantine a request."""
+        if crashes_to_quarantine != self._crashes_to_quarantine:
+            self._crashes_to_quarantine = crashes_to_quarantine
+            self._forget_derived()
 
     def merge(self, report, *, now_s):
         """Take in a report; return whether it told anything new."""
@@ -65,22 +89,25 @@
             return False
         fingerprints = crash.fingerprints | report.fingerprints
         cleared = crash.cleared | report.cleared
+        release = max(crash.release, report.release)
         crash.expires_s = min(crash.expires_s, expires_s)
-        if (fingerprints, cleared) == (crash.fingerprints, crash.cleared):
+        known = (crash.fingerprints, crash.cleared, crash.release)
+        if (fingerprints, cleared, release) == known:
             return False
         crash.fingerprints = fingerprints
         crash.cleared = cleared
+        crash.release = release
         for fingerprint in report.fingerprints:
             crash_ids = self._crash_ids_by_fingerprint[fingerprint]
             crash_ids.add(report.crash_id)
         self._note_change(crash)
         return True
 
-    def clear(self, fingerprint):
-        """Clear a request of all crashes known now."""
+    def clear(self, fingerprint, *, release=''):
+        """Clear a request of all crashes of a release known now."""
         for crash_id in self._crash_ids_by_fingerprint.get(fingerprint, ()):
             crash = self._crashes_by_id[crash_id]
-            if fingerprint not in crash.cleared:
+            if fingerprint not in crash.cleared and crash.release == release:
                 crash.cleared |= {fingerprint}
                 self._note_change(crash)
 
@@ -91,10 +118,48 @@
         if self._status_by_fingerprint is None:
             self._status_by_fingerprint = _assess(
                 [crash.suspects for crash in self._crashes_by_id.values()],
-                self._policy.crashes_to_quarantine,
+                self._crashes_to_quarantine,
+                self._policy.crashes_in_any_case,
             )
         return self._status_by_fingerprint.get(fingerprint, Status.CLEAR)
 
+    def record(self, fingerprint):
+        """Return the ``Record`` of a request, or None without crashes."""
+        crashes = [
+            self._crashes_by_id[crash_id]
+            for crash_id in self._crash_ids_by_fingerprint.get(fingerprint, ())
+        ]
+        crashes = [x for x in crashes if fingerprint in x.suspects]
+        if not crashes:
+            return None
+        return Record(
+            releases=frozenset(x.release for x in crashes),
+            crashes=len(crashes),
+            newest_s=max(x.expires_s for x in crashes)
+            - self._policy.evidence_s,
+        )
+
+    def quarantined(self):
+        """Return the fingerprints that are quarantined."""
+        if self._quarantined is None:
+            self._quarantined = frozenset(
+                fingerprint
+                for fingerprint in self._crash_ids_by_fingerprint
+                if self.status(fingerprint) is Status.QUARANTINED
+            )
+        return self._quarantined
+
+    def digest(self, *, now_s):
+        """Return a number that equal evidence has in common."""
+        shared = frozenset(
+            crash_id
+            for crash_id, crash in self._crashes_by_id.items()
+            if self._is_shared(crash, now_s)
+        )
+        if self._digest is None or self._digest[0] != shared:
+            self._digest = (shared, self._compute_digest(shared))
+        return self._digest[1]
+
     def reports_about(self, fingerprint, *, now_s):
         """Return the crashes that a request was part of."""
         crash_ids = self._crash_ids_by_fingerprint.get(fingerprint, ())
@@ -111,7 +176,7 @@
         lively = [
             (crash.times_sent, crash_id)
             for crash_id, crash in self._crashes_by_id.items()
-            if crash.expires_s - now_s > self._policy.silent_s
+            if self._is_shared(crash, now_s)
         ]
         chosen = [crash_id for _, crash_id in sorted(lively)[:count]]
         for crash_id in chosen:
@@ -135,7 +200,10 @@
                 return None
             self._drop(oldest_id)
         crash = _Crash(
-            fingerprints=frozenset(), cleared=frozenset(), expires_s=expires_s
+            fingerprints=frozenset(),
+            cleared=frozenset(),
+            expires_s=expires_s,
+            release='',
         )
         self._crashes_by_id[crash_id] = crash
         return crash
@@ -147,11 +215,33 @@
             crash_ids.discard(crash_id)
             if not crash_ids:
                 del self._crash_ids_by_fingerprint[fingerprint]
-        self._status_by_fingerprint = None
+        self._forget_derived()
 
     def _note_change(self, crash):
         crash.times_sent = 0
+        self._forget_derived()
+
+    def _forget_derived(self):
         self._status_by_fingerprint = None
+        self._quarantined = None
+        self._digest = None
+
+    def _is_shared(self, crash, now_s):
+        return crash.expires_s - now_s > self._policy.silent_s
+
+    def _compute_digest(self, crash_ids):
+        digest = hashlib.blake2b(digest_size=8)
+        for crash_id in sorted(crash_ids):
+            crash = self._crashes_by_id[crash_id]
+            for part in (
+                crash_id.encode(),
+                crash.release.encode(),
+                b''.join(sorted(crash.fingerprints)),
+                b''.join(sorted(crash.cleared)),
+            ):
+                digest.update(len(part).to_bytes(4, 'big'))
+                digest.update(part)
+        return int.from_bytes(digest.digest(), 'big')
 
     def _report(self, crash_id, now_s):
         crash = self._crashes_by_id[crash_id]
@@ -160,10 +250,13 @@
             fingerprints=crash.fingerprints,
             cleared=crash.cleared,
             remaining_s=crash.expires_s - now_s,
+            release=crash.release,
         )
 
 
-def _assess(suspects_by_crash, crashes_to_quarantine):
+def _assess(
+    suspects_by_crash, crashes_to_quarantine, crashes_in_any_case=None
+):
     """Return the status of each suspect.
 
     A crash is attributed to the one request that took part in more crashes
@@ -172,14 +265,19 @@
     """
     statuses = {}
     unexplained = [suspects for suspects in suspects_by_crash if suspects]
+    if crashes_in_any_case is not None:
+        counts = _count_crashes(unexplained)
+        poison = {f for f, n in counts.items() if n >= crashes_in_any_case}
+    else:
+        poison = set()
     while True:
-        poison = _find_poison(unexplained, crashes_to_quarantine)
-        if not poison:
-            break
         statuses.update(dict.fromkeys(poison, Status.QUARANTINED))
         unexplained = [
             suspects for suspects in unexplained if not suspects & poison
         ]
+        poison = _find_poison(unexplained, crashes_to_quarantine)
+        if not poison:
+            break
     for suspects in unexplained:
         for fingerprint in suspects:
             statuses.setdefault(fingerprint, Status.SUSPECT)
@@ -187,9 +285,7 @@
 
 
 def _find_poison(unexplained, crashes_to_quarantine):
-    crashes = collections.Counter()
-    for suspects in unexplained:
-        crashes.update(suspects)
+    crashes = _count_crashes(unexplained)
     against = collections.Counter()
     for suspects in unexplained:
         most = max(crashes[fingerprint] for fingerprint in suspects)
@@ -201,3 +297,9 @@
         for fingerprint, count in against.items()
         if count >= crashes_to_quarantine
     }
+
+
+def _count_crashes(unexplained):
+    return collections.Counter(
+        fingerprint for suspects in unexplained for fingerprint in suspects
+    )
--- a/packages/savoryyoke/tests/forwarding/test_ledger.py
+++ b/packages/savoryyoke/tests/forwarding/test_ledger.py
@@ -55,7 +55,8 @@
     def test_refused_everywhere_is_refused(self):
         send(self.book)
         self.book.apply(events.TargetRefused(target_id='t1'))
-        decision = self.book.apply(events.NoOtherTarget())
+        decision = self.book.apply(events.NoOtherTarget(reason='why'))
+        self.assertEqual('why', decision.reason)
         self.assertIsInstance(decision, decisions.Refuse)
 
     def test_timeout_in_a_try_is_no_refusal(self):
--- a/packages/savoryyoke/tests/placement/test_dispatcher.py
+++ b/packages/savoryyoke/tests/placement/test_dispatcher.py
@@ -127,6 +127,30 @@
         made = self.arrive('r', regions=frozenset({'x'}))
         self.assertEqual({'r': 't1'}, self.placed(made))
 
+    def test_leaves_withheld_releases_alone(self):
+        self.publish(build_target(1, release='v1'), build_target(2))
+        withheld = frozenset({''})
+        made = self.arrive('r', withheld_releases=withheld)
+        self.assertEqual({'r': 't1'}, self.placed(made))
+        repeat = events.RepeatAsked(
+            request_id='r',
+            tried_target_ids=frozenset({'t1'}),
+            time_left_s=1.0,
+            withheld_releases=withheld,
+        )
+        self.assertEqual({'r'}, set(self.refused(self.apply(repeat))))
+
+    def test_queued_request_leaves_withheld_releases_alone(self):
+        self.publish(build_target(1, release='v1', slots=1))
+        self.arrive('first')
+        self.arrive('second', withheld_releases=frozenset({'v2'}))
+        self.publish(
+            build_target(1, release='v1', slots=1),
+            build_target(2, release='v2'),
+        )
+        made = self.end('t1')
+        self.assertEqual({'second': 't1'}, self.placed(made))
+
     def test_unreachable_target_is_left_alone_for_a_while(self):
         self.end('t1', result=_Result.UNREACHABLE)
         for number in range(2):
--- /dev/null
+++ b/packages/savoryyoke/tests/quarantine/test_withholding.py
@@ -0,0 +1,198 @@
+"""Test what an entry withholds from targets that it calls itself."""
+
+import unittest
+
+from savoryyoke.quarantine import aggregates
+from savoryyoke.quarantine import conf
+from savoryyoke.quarantine import decisions
+from savoryyoke.quarantine import events
+from savoryyoke.quarantine import evidence
+from savoryyoke.quarantine import fingerprints
+
+POLICY = conf.ENTRY_POLICY
+FATAL = b'fatal'
+
+
+def build_report(number, *contents, release='v1'):
+    """Return the report of a crash that has just happened."""
+    return evidence.CrashReport(
+        crash_id=f'crash-{number}',
+        fingerprints=frozenset(contents or {FATAL}),
+        remaining_s=POLICY.evidence_s,
+        release=release,
+    )
+
+
+class WithholdingCase(unittest.TestCase):
+    def setUp(self):
+        self.quarantine = aggregates.Quarantine(policy=POLICY)
+        self.apply(events.PeersHeard(count=3))
+
+    def apply(self, event, now_s=0.0):
+        return self.quarantine.apply(event, now_s=now_s)
+
+    def crash(self, *numbers, contents=(), release='v1', now_s=0.0):
+        """Take in crashes of a release."""
+        reports = tuple(
+            build_report(x, *contents, release=release) for x in numbers
+        )
+        self.apply(events.ReportsReceived(reports=reports), now_s)
+
+    def offer(self, content=FATAL, *, call_id='call', now_s=0.0):
+        """Return the decision on a call about to be sent."""
+        event = events.SendOffered(call_id=call_id, fingerprint=content)
+        (decision,) = self.apply(event, now_s)
+        return decision
+
+    def assert_routed(self, *arguments, **changes):
+        decision = self.offer(*arguments, **changes)
+        self.assertIsInstance(decision, decisions.Route)
+
+    def assert_withheld(self, *releases, now_s=0.0, call_id='call'):
+        decision = self.offer(now_s=now_s, call_id=call_id)
+        self.assertIsInstance(decision, decisions.Withhold)
+        self.assertEqual(frozenset(releases), decision.releases)
+        return decision
+
+
+class CrashCountTests(WithholdingCase):
+    def test_three_crashes_withhold_a_request(self):
+        self.crash(1, 2)
+        self.assert_routed()
+        self.crash(3)
+        withheld = self.assert_withheld('v1')
+        self.assertEqual(3, withheld.crashes)
+
+    def test_entry_that_hears_no_other_takes_two_crashes(self):
+        self.crash(1, 2)
+        self.apply(events.PeersHeard(count=0))
+        self.assert_withheld('v1')
+
+    def test_one_crash_withholds_nothing_even_alone(self):
+        self.apply(events.PeersHeard(count=0))
+        self.crash(1)
+        self.assert_routed()
+
+    def test_other_requests_of_the_crashes_are_sent(self):
+        for number in range(4):
+            self.crash(number, contents=(FATAL, b'other-%d' % number))
+        self.assert_withheld('v1')
+        for number in range(4):
+            self.assert_routed(b'other-%d' % number)
+
+    def test_requests_that_cannot_be_told_apart_are_withheld_later(self):
+        for number in range(1, POLICY.crashes_in_any_case):
+            self.crash(number, contents=(FATAL, b'twin'))
+        self.assert_routed()
+        last = POLICY.crashes_in_any_case
+        self.crash(last, contents=(FATAL, b'twin', b'x'))
+        self.assert_withheld('v1')
+        self.assertIsInstance(self.offer(b'twin'), decisions.Withhold)
+        self.assert_routed(b'x')
+
+    def test_request_that_is_answered_meanwhile_is_sent(self):
+        self.crash(1, 2)
+        self.apply(events.CallSucceeded(fingerprint=FATAL, release='v1'))
+        self.crash(3, now_s=1.0)
+        self.assert_routed(now_s=1.0)
+
+
+class ReleaseTests(WithholdingCase):
+    def setUp(self):
+        super().setUp()
+        self.crash(1, 2, 3)
+
+    def test_request_may_run_on_another_release(self):
+        # The entry leaves out the releases that are named, and no others.
+        self.assert_withheld('v1')
+
+    def test_one_crash_withholds_it_from_another_release(self):
+        self.crash(4, release='v2')
+        self.assert_withheld('v1', 'v2')
+
+    def test_answer_of_another_release_frees_only_that(self):
+        self.crash(4, release='v2')
+        self.apply(events.CallSucceeded(fingerprint=FATAL, release='v2'))
+        self.assert_withheld('v1')
+
+
+class RetrialTests(WithholdingCase):
+    def setUp(self):
+        super().setUp()
+        self.crash(1, 2, 3)
+
+    def test_request_is_tried_once_more_after_a_while(self):
+        due_s = POLICY.retrial_s
+        withheld = self.assert_withheld('v1', now_s=due_s - 100.0)
+        self.assertEqual(100.0, withheld.retry_after_s)
+        self.assert_routed(call_id='first', now_s=due_s)
+        # The call keeps its right, others wait for its outcome.
+        self.assert_routed(call_id='first', now_s=due_s + 1.0)
+        self.assert_withheld('v1', call_id='second', now_s=due_s + 1.0)
+        late_s = due_s + POLICY.retrial_timeout_s
+        self.assert_routed(call_id='second', now_s=late_s)
+
+    def test_each_further_crash_doubles_the_wait(self):
+        now_s = POLICY.retrial_s
+        self.crash(4, now_s=now_s)
+        withheld = self.assert_withheld('v1', now_s=now_s)
+        self.assertEqual(2 * POLICY.retrial_s, withheld.retry_after_s)
+
+    def test_answer_ends_the_quarantine(self):
+        now_s = POLICY.retrial_s
+        self.assert_routed(now_s=now_s)
+        self.apply(
+            events.CallSucceeded(fingerprint=FATAL, release='v1'), now_s
+        )
+        self.assert_routed(call_id='second', now_s=now_s)
+
+
+class DigestTests(WithholdingCase):
+    def digest(self, now_s=0.0):
+        return self.quarantine.evidence.digest(now_s=now_s)
+
+    def test_equal_evidence_has_equal_digests(self):
+        other = aggregates.Quarantine(policy=POLICY)
+        self.assertEqual(self.digest(), other.evidence.digest(now_s=0.0))
+        self.crash(1, 2)
+        self.assertNotEqual(self.digest(), other.evidence.digest(now_s=0.0))
+        reports = (build_report(2), build_report(1))
+        other.apply(events.ReportsReceived(reports=reports), now_s=0.0)
+        self.assertEqual(self.digest(), other.evidence.digest(now_s=0.0))
+
+    def test_clearance_and_expiry_change_the_digest(self):
+        empty = self.digest()
+        self.crash(1)
+        known = self.digest()
+        self.apply(events.CallSucceeded(fingerprint=FATAL, release='v1'))
+        self.assertNotEqual(known, self.digest())
+        late_s = POLICY.evidence_s - POLICY.silent_s / 2
+        self.assertEqual(empty, self.digest(late_s))
+
+
+class ContentDigestTests(unittest.TestCase):
+    REQUEST = dict(
+        service='s', caller='team', method=b'POST', target=b'/a?b', body=b'x'
+    )
+
+    def test_each_part_counts(self):
+        known = fingerprints.compute_content_digest(**self.REQUEST)
+        for name, value in (
+            ('service', 't'),
+            ('caller', 'other'),
+            ('method', b'PUT'),
+            ('target', b'/a?c'),
+            ('body', b'y'),
+        ):
+            changed = fingerprints.compute_content_digest(
+                **(self.REQUEST | {name: value})
+            )
+            self.assertNotEqual(known, changed, name)
+
+    def test_parts_do_not_run_into_each_other(self):
+        first = self.REQUEST | {'target': b'/ab', 'body': b'c'}
+        second = self.REQUEST | {'target': b'/a', 'body': b'bc'}
+        self.assertNotEqual(
+            fingerprints.compute_content_digest(**first),
+            fingerprints.compute_content_digest(**second),
+        )
