Let the soak play requests that crash each target

A fault sends such a payment for some seconds, targets that end by themselves are replaced, and a promise checks the users' bound (three crashes, three seconds, three more), leaving out entries that could not hear others. The mutant that withholds nothing is caught.

--- a/packages/savoryyoke-soak/savoryyoke_soak/backend.py
+++ b/packages/savoryyoke-soak/savoryyoke_soak/backend.py
@@ -3,6 +3,7 @@
 Prints its address, then one line for each run as it begins.
 """
 
+import os
 import sys
 import time
 
@@ -17,9 +18,11 @@
     """Print runs, so that those of a killed process are known too."""
 
     def append(self, run):
-        """Print one run."""
+        """Print one run; end the process if the request is fatal."""
         request_id = run.request.headers.get('x-request-id', '')
         print(f'run {request_id} {time.monotonic():.6f}', flush=True)
+        if run.request.body.startswith(conf.FATAL_BODY):
+            os._exit(1)
 
 
 async def serve(target_id):
--- a/packages/savoryyoke-soak/savoryyoke_soak/callers.py
+++ b/packages/savoryyoke-soak/savoryyoke_soak/callers.py
@@ -54,6 +54,18 @@
             )
         await self._pool.aclose()
 
+    async def repeat(self, body, *, for_s):
+        """Send payments with the same body, each with an id of its own."""
+        kind = records.Kind.PAYMENT
+        ends_s = time.monotonic() + for_s
+        while time.monotonic() < ends_s:
+            address = await self._choose_entry()
+            if address is not None:
+                call = await self._call(address, kind, body=body)
+                self._history.calls.append(call)
+            await anyio.sleep(conf.FATAL_PAUSE_S)
+        await self._pool.aclose()
+
     async def _choose_entry(self):
         now_s = time.monotonic()
         if self._asked_s is None or now_s - self._asked_s > self._ttl_s:
@@ -88,11 +100,11 @@
                 self._asked_s = time.monotonic()
                 return
 
-    async def _call(self, address, kind):
+    async def _call(self, address, kind, *, body=b''):
         request_id = f'{kind.value}-{next(_NUMBERS)}'
         life = self._find_life(address)
         sent_s = time.monotonic()
-        status, answered_id, body = None, None, b''
+        status, answered_id, received = None, None, b''
         is_whole, broken = False, None
         try:
             # A caller that gets nothing leaves in the end.
@@ -101,11 +113,12 @@
                     _METHODS_BY_KIND[kind],
                     f'http://{address}/{kind.value}/x',
                     headers=_build_headers(request_id, kind),
+                    content=body,
                 ) as answer:
                     status = answer.status
                     answered_id = _find_header(answer, b'x-request-id')
                     async for part in answer.aiter_stream():
-                        body += part
+                        received += part
             is_whole = True
         except (TimeoutError, *_FAILURES) as error:
             broken = type(error).__name__
@@ -116,7 +129,8 @@
             sent_s=sent_s,
             ended_s=time.monotonic(),
             status=status,
-            body=body,
+            body=received,
+            sent_body=body,
             answered_id=answered_id,
             is_whole=is_whole,
             broken=broken,
--- a/packages/savoryyoke-soak/savoryyoke_soak/children.py
+++ b/packages/savoryyoke-soak/savoryyoke_soak/children.py
@@ -47,6 +47,11 @@
             self._pidfd = None
             self._ended.set()
 
+    @property
+    def has_ended(self):
+        """Return whether the process has ended."""
+        return self._ended.is_set()
+
     async def _read(self):
         rest = b''
         async for data in self._process.stdout:
--- a/packages/savoryyoke-soak/savoryyoke_soak/conf.py
+++ b/packages/savoryyoke-soak/savoryyoke_soak/conf.py
@@ -25,6 +25,18 @@
 # So an entry may be gone this long after it was asked to stop.
 STOPPED_GONE_S = 3.0
 
+# A caller whose request crashes each target sends it again so soon; the
+# target is back after a while.
+FATAL_PAUSE_S = 0.2
+FATAL_FOR_S = 6.0
+FATAL_BODY = b'fatal'
+TARGET_RETURN_S = 0.5
+# What the users grant from the third crash on: time to learn of it, then
+# so many more arrivals.
+CRASHES_TO_LEARN = 3
+LEARNING_S = 3.0
+ARRIVALS_AFTER_LIMIT = 3
+
 # A stopped entry finishes what it has begun within this time.
 GRACE_S = 8.0
 STOP_S = GRACE_S + 3.0
--- a/packages/savoryyoke-soak/savoryyoke_soak/faults.py
+++ b/packages/savoryyoke-soak/savoryyoke_soak/faults.py
@@ -14,12 +14,14 @@
     'store-garbage',
 )
 TARGET_FAULTS = ('kill-target', 'freeze-target', 'drain-target')
+REQUEST_FAULTS = ('fatal-request',)
 LINK_FAULTS = ('delay', 'reset', 'cut-to', 'cut-from', 'silence')
 # Links fail more often than processes do.
 _WEIGHTED = (
     *ENTRY_FAULTS,
     *STORE_FAULTS,
     *TARGET_FAULTS,
+    *REQUEST_FAULTS,
     *LINK_FAULTS,
     *LINK_FAULTS,
 )
--- a/packages/savoryyoke-soak/savoryyoke_soak/mutants.py
+++ b/packages/savoryyoke-soak/savoryyoke_soak/mutants.py
@@ -14,6 +14,7 @@
 from savoryyoke_gateway import following
 from savoryyoke_gateway import forwarder
 from savoryyoke_gateway import stopping
+from savoryyoke_gateway import suspects
 from savoryyoke_platform import entry
 
 
@@ -108,6 +109,11 @@
     stopping.Stopping.begin = end
 
 
+def _send_what_crashes():
+    """Withhold no request."""
+    suspects.Suspects.find_withheld = lambda self, call: None
+
+
 MUTATIONS_BY_PROMISE = {
     'once': _repeat_payments,
     'not-run': _deny_runs,
@@ -115,6 +121,7 @@
     'answered': _hold_answers,
     'configuration': _stay_behind,
     'leaving': _keep_leaving_targets,
+    'crashing': _send_what_crashes,
     'stop': _stop_badly,
 }
 
--- a/packages/savoryyoke-soak/savoryyoke_soak/promises.py
+++ b/packages/savoryyoke-soak/savoryyoke_soak/promises.py
@@ -166,6 +166,43 @@
             )
 
 
+def _check_crashing(history):
+    """Requests that crash each target are soon sent no more."""
+    runs_by_id = collections.defaultdict(list)
+    for run in history.runs:
+        runs_by_id[run.request_id].append(run.at_s)
+    arrivals = collections.defaultdict(list)
+    for call in history.calls:
+        if call.sent_body.startswith(conf.FATAL_BODY):
+            for at_s in runs_by_id[call.request_id]:
+                arrivals[call.sent_body].append((at_s, call))
+    for body, reached in arrivals.items():
+        reached.sort(key=lambda x: x[0])
+        if len(reached) <= conf.CRASHES_TO_LEARN:
+            continue
+        crashed_s, _ = reached[conf.CRASHES_TO_LEARN - 1]
+        late = [
+            call
+            for at_s, call in reached
+            if at_s > crashed_s + conf.LEARNING_S
+            and not _is_out_of_touch(history, call)
+        ]
+        if len(late) > conf.ARRIVALS_AFTER_LIMIT:
+            yield Breach(
+                promise='crashing',
+                evidence=f'{body} came {len(late)} times too late',
+            )
+
+
+def _is_out_of_touch(history, call):
+    """Tell whether an entry may not have heard of crashes yet."""
+    from_s = call.sent_s - conf.LEARNING_S - conf.BUSY_S
+    return any(
+        trouble.on == call.life and trouble.overlaps(from_s, call.ended_s)
+        for trouble in history.troubles
+    )
+
+
 def _is_excused_call(history, call):
     """Tell whether an entry could not answer a call."""
     kinds = _DISABLING
@@ -190,5 +227,6 @@
     _check_answered,
     _check_configuration,
     _check_leaving,
+    _check_crashing,
     _check_stops,
 )
--- a/packages/savoryyoke-soak/savoryyoke_soak/records.py
+++ b/packages/savoryyoke-soak/savoryyoke_soak/records.py
@@ -18,7 +18,7 @@
 
     ``life`` names the run of the entry process that was called.
     ``is_whole`` tells whether the answer came to its end as HTTP has it;
-    ``broken`` is why it did not, else None.
+    ``broken`` is why it did not, else None. ``sent_body`` is the caller's.
     """
 
     request_id: str
@@ -31,6 +31,7 @@
     answered_id: str | None
     is_whole: bool
     broken: str | None
+    sent_body: bytes = b''
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/savoryyoke-soak/savoryyoke_soak/runner.py
+++ b/packages/savoryyoke-soak/savoryyoke_soak/runner.py
@@ -107,6 +107,7 @@
                 calling.start_soon(caller.run, stopped)
             calling.start_soon(self._change_configuration, stopped)
             calling.start_soon(self._probe, stopped)
+            calling.start_soon(self._replace_crashed, stopped)
             async with anyio.create_task_group() as failing:
                 started_s = time.monotonic()
                 for fault in self._faults:
@@ -260,6 +261,28 @@
         finally:
             place.is_busy = False
 
+    async def _replace_crashed(self, stopped):
+        """Start targets anew whose process has ended by itself."""
+        while not stopped.is_set():
+            await anyio.sleep(0.05)
+            for place in self._fleet.targets:
+                if place.child.has_ended and not place.is_busy:
+                    place.is_busy = True
+                    await anyio.sleep(conf.TARGET_RETURN_S)
+                    self._fleet.remove_target(place)
+                    await self._fleet.start_target(place)
+                    place.is_busy = False
+
+    async def _send_fatal_request(self, fault):
+        caller = callers.Caller(
+            history=self._history,
+            source=random.Random(f'{self._seed}/{fault.at_s}'),
+            directories=self._fleet.directories,
+            find_life=self._fleet.find_life,
+        )
+        body = conf.FATAL_BODY + str(fault.at_s).encode()
+        await caller.repeat(body, for_s=fault.for_s + conf.FATAL_FOR_S)
+
     async def _kill_target(self, place, fault):
         place.child.kill()
         await anyio.sleep(fault.for_s)
@@ -315,6 +338,7 @@
     'store-error': Soak._fail_store,
     'store-history': Soak._forget_history,
     'store-garbage': Soak._send_garbage,
+    'fatal-request': Soak._send_fatal_request,
     'kill-target': _target_fault(Soak._kill_target),
     'freeze-target': _target_fault(Soak._freeze_target),
     'drain-target': _target_fault(Soak._drain_target),
--- a/packages/savoryyoke-soak/tests/test_promises.py
+++ b/packages/savoryyoke-soak/tests/test_promises.py
@@ -167,6 +167,31 @@
         self.trouble('store-error', on='store', from_s=2.0)
         self.assert_broken()
 
+    def add_fatal(self, *at_s):
+        """Add requests that crash targets, each with one run."""
+        for number, each_s in enumerate(at_s):
+            call = build_call(
+                records.Kind.PAYMENT,
+                request_id=f'fatal-{number}',
+                sent_s=each_s,
+                ended_s=each_s + 0.1,
+                status=502,
+                answered_id=None,
+                sent_body=conf.FATAL_BODY,
+            )
+            self.history.calls.append(call)
+            self.history.runs.append(build_run(call, at_s=each_s))
+
+    def test_request_that_crashes_targets_and_goes_on_being_sent(self):
+        late_s = 3.0 + conf.LEARNING_S
+        self.add_fatal(1.0, 2.0, 3.0, 3.5, *[late_s + 1.0] * 3)
+        self.assert_broken()
+        self.history = records.History()
+        self.add_fatal(1.0, 2.0, 3.0, *[late_s + 1.0] * 4)
+        self.assert_broken('crashing')
+        self.trouble('frozen', from_s=late_s, until_s=late_s + 0.5)
+        self.assert_broken()
+
     def test_entry_that_does_not_end_or_ends_badly(self):
         for status in (None, 1):
             self.history.stops.append(
--- a/packages/savoryyoke-soak/tests/test_soak.py
+++ b/packages/savoryyoke-soak/tests/test_soak.py
@@ -26,6 +26,7 @@
     'once': RESETS,
     'not-run': RESETS,
     'leaving': (build_fault('drain-target'),),
+    'crashing': (build_fault('fatal-request'),),
     'stop': (build_fault('stop'),),
 }
 # Seeds that have found a fault, with its cause.
@@ -50,6 +51,7 @@
                 *faults.ENTRY_FAULTS,
                 *faults.STORE_FAULTS,
                 *faults.TARGET_FAULTS,
+                *faults.REQUEST_FAULTS,
                 *faults.LINK_FAULTS,
             },
             {fault.kind for fault in drawn},
--- a/packages/savoryyoke/tests/quarantine/test_fleet.py
+++ b/packages/savoryyoke/tests/quarantine/test_fleet.py
@@ -81,6 +81,9 @@
     def test_two_requests_side_by_side(self):
         self.check([build_fatal(0), build_fatal(1)])
 
+    def test_targets_that_return_under_their_ids_before_the_list_says_so(self):
+        self.check([build_fatal(0)] * 2, keeps_ids=True, list_lag_s=0.8)
+
     def test_many_requests(self):
         self.check([build_fatal(x) for x in range(8)])
 
--- a/packages/savoryyoke/tests/quarantine/world.py
+++ b/packages/savoryyoke/tests/quarantine/world.py
@@ -84,11 +84,15 @@
         targets=6,
         hears=lambda one, other, now_s: True,
         loss=0.0,
+        keeps_ids=False,
+        list_lag_s=0.0,
     ):
         self.source = random.Random(seed)
         self.now_s = 0.0
         self._hears = hears
         self._loss = loss
+        self._keeps_ids = keeps_ids
+        self._list_lag_s = list_lag_s
         self._queue = []
         self._order = itertools.count()
         self._numbers = itertools.count(1)
@@ -147,8 +151,11 @@
     def _return(self, target):
         target.number += 1
         target.is_up = True
-        target.description = models.Target(
-            target_id=f'{target.name}.{target.number}',
+        target_id = f'{target.name}.{target.number}'
+        if self._keeps_ids:
+            target_id = target.name
+        description = models.Target(
+            target_id=target_id,
             incarnation=target.number,
             service_name='s',
             host=target.name,
@@ -159,6 +166,13 @@
             is_draining=False,
             is_in_service=True,
         )
+        if target.description is None:
+            self._publish(target, description)
+        else:
+            self.after(self._list_lag_s, self._publish, target, description)
+
+    def _publish(self, target, description):
+        target.description = description
         for entry in self.entries:
             self._list(entry)
 
