Bound the head of a target's answer in bytes and time

What callers saw: an entry whose target sent informational answers without end spent 3.1 s of processor time on them, served nobody else meanwhile, and answered 504 though another target was well. A head that came a field at a time held a lookup until its timeout.

Cause: the HTTP library skips informational answers in a loop without bound, and its read timeout starts anew with each byte.

The connection now counts what it carries until the head is whole, and the wait for the head is one time, not one for each read. Ruled out: endless fields, noise, chunk sizes and trailers, which the library already bounds, and bodies, which the entry bounds.

EndlessAnswerTests: 3 of 14 cases failed before (endless informational twice, dripped head), 14 of 14 pass.

--- a/packages/savoryyoke-fakes/savoryyoke_fakes/deployment/replica.py
+++ b/packages/savoryyoke-fakes/savoryyoke_fakes/deployment/replica.py
@@ -33,6 +33,15 @@
     TORN_EVENT_ENDED = 'torn-event-ended'
     SLOW_EVENTS = 'slow-events'
     ENDLESS_EVENT = 'endless-event'
+    ENDLESS_COMMENTS = 'endless-comments'
+    DRIPPED_EVENT = 'dripped-event'
+    ENDLESS_HEAD = 'endless-head'
+    ENDLESS_INFORMATIONAL = 'endless-informational'
+    ENDLESS_NOISE = 'endless-noise'
+    ENDLESS_BODY = 'endless-body'
+    ENDLESS_CHUNK_SIZE = 'endless-chunk-size'
+    ENDLESS_TRAILERS = 'endless-trailers'
+    DRIPPED_HEAD = 'dripped-head'
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -119,6 +128,9 @@
                 await anyio.sleep(fatal.after_s)
                 self.crash()
                 await anyio.sleep_forever()
+        if oddity in _FLOODS_BY_ODDITY:
+            await _flood(connection, *_FLOODS_BY_ODDITY[oddity])
+            return
         if 'text/event-stream' in request.headers.get('accept', ''):
             await self._stream(request, connection, oddity, run)
             return
@@ -160,8 +172,10 @@
             if torn and number > half:
                 await connection.send_chunk(event[:9])
                 break
-            if oddity is Oddity.ENDLESS_EVENT and number > half:
-                await self._send_endless_event(connection)
+            if oddity in _EVENT_FLOODS_BY_ODDITY and number > half:
+                chunk, pause_s = _EVENT_FLOODS_BY_ODDITY[oddity]
+                chunk = f'{len(chunk):x}\r\n'.encode() + chunk + b'\r\n'
+                await _flood(connection, b'', chunk, pause_s)
                 return
             await connection.send_chunk(event)
         if oddity is Oddity.TORN_EVENT:
@@ -169,14 +183,6 @@
             return
         await connection.send_chunk(b'')
 
-    async def _send_endless_event(self, connection):
-        """Send one event without its end until the caller leaves."""
-        try:
-            while True:
-                await connection.send_chunk(b'data: ' + b'x' * 65536)
-        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
-            return
-
     async def _pause(self, connection, run):
         """Wait before an event; note a caller that leaves meanwhile."""
         with anyio.move_on_after(0.3):
@@ -240,6 +246,40 @@
     await connection.answer(200, headers=headers, body=body)
 
 
+async def _flood(connection, first, chunk, pause_s):
+    """Send ``chunk`` again and again until the other side closes."""
+    try:
+        await connection.send(first)
+        while True:
+            await connection.send(chunk)
+            await anyio.sleep(pause_s)
+    except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+        return
+
+
+_STATUS_LINE = b'HTTP/1.1 200 OK\r\n'
+_SIGNED_HEAD = _STATUS_LINE + b'X-Server-Seal: s\r\n'
+_CHUNKED_HEAD = _SIGNED_HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
+_FIELD = b'X-Field: ' + b'x' * 8192 + b'\r\n'
+# What comes first, what is repeated, and the seconds between.
+_FLOODS_BY_ODDITY = {
+    Oddity.ENDLESS_HEAD: (_STATUS_LINE, _FIELD, 0.0),
+    Oddity.ENDLESS_INFORMATIONAL: (
+        b'',
+        b'HTTP/1.1 103 Early Hints\r\n\r\n' * 1000,
+        0.0,
+    ),
+    Oddity.ENDLESS_NOISE: (b'', b'\x00\x01' * 32768, 0.0),
+    Oddity.ENDLESS_BODY: (_SIGNED_HEAD + b'\r\n', b'x' * 65536, 0.0),
+    Oddity.ENDLESS_CHUNK_SIZE: (_CHUNKED_HEAD + b'5;x=', b'x' * 65536, 0.0),
+    Oddity.ENDLESS_TRAILERS: (_CHUNKED_HEAD + b'0\r\n', _FIELD, 0.0),
+    Oddity.DRIPPED_HEAD: (_STATUS_LINE, b'X-Field: x\r\n', 0.05),
+}
+_EVENT_FLOODS_BY_ODDITY = {
+    Oddity.ENDLESS_EVENT: (b'data: ' + b'x' * 65536, 0.0),
+    Oddity.ENDLESS_COMMENTS: (b': x\n\n' * 1000, 0.0),
+    Oddity.DRIPPED_EVENT: (b'data: x\n', 0.05),
+}
 _ANSWERS_BY_ODDITY = {
     Oddity.ERROR: _answer_error,
     Oddity.REFUSE_UNPROVEN: _answer_unproven,
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/conf.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/conf.py
@@ -30,6 +30,10 @@
 CRASH_REPORTS_PER_HEARTBEAT = 8
 CRASH_DIGESTS_PER_REPORT = 16
 
+# Bounds an answer's head, with the informational answers before it and the
+# 64 KB that the HTTP library reads at once. The users' heads are below 1 KB.
+HEAD_LIMIT_BYTES = 128 * 1024
+
 # Bounds an answer that is held until it is whole.
 ANSWER_LIMIT_BYTES = 16 * 1024 * 1024
 
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/exchanges.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/exchanges.py
@@ -10,6 +10,38 @@
 _METHODS_WITH_BODY = (b'POST', b'PUT', b'PATCH')
 
 
+class _BoundedStream(httpcore.AsyncNetworkStream):
+    """Limit the bytes of a connection until its answer's head is whole.
+
+    The HTTP library skips informational answers without any bound.
+    """
+
+    def __init__(self, stream):
+        self._stream = stream
+        self._left_bytes = conf.HEAD_LIMIT_BYTES
+
+    def lift_limit(self):
+        """Let the connection carry any number of further bytes."""
+        self._left_bytes = None
+
+    async def read(self, max_bytes, timeout=None):
+        data = await self._stream.read(max_bytes, timeout)
+        if self._left_bytes is not None:
+            self._left_bytes -= len(data)
+            if self._left_bytes < 0:
+                raise exceptions.ExchangeBroken('malformed')
+        return data
+
+    async def write(self, buffer, timeout=None):
+        await self._stream.write(buffer, timeout)
+
+    async def aclose(self):
+        await self._stream.aclose()
+
+    def get_extra_info(self, info):
+        return self._stream.get_extra_info(info)
+
+
 class Exchange:
     """Own one connection to a target and the request on it.
 
@@ -26,8 +58,10 @@
     async def connect(self, *, timeout_s=conf.CONNECT_TIMEOUT_S):
         """Open the connection; raise ``TargetUnreachable``."""
         try:
-            self._stream = await _BACKEND.connect_tcp(
-                self._target.host, self._target.port, timeout=timeout_s
+            self._stream = _BoundedStream(
+                await _BACKEND.connect_tcp(
+                    self._target.host, self._target.port, timeout=timeout_s
+                )
             )
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
             raise exceptions.TargetUnreachable(
@@ -37,7 +71,8 @@
     async def send(self, *, method, target, headers, body, silence_s):
         """Send a request and return the status and headers of its answer.
 
-        Raise ``ExchangeBroken``. Informational answers are skipped.
+        Raise ``ExchangeBroken``, also where the head of the answer is not
+        whole within ``silence_s``. Informational answers are skipped.
         """
         url = httpcore.URL(
             scheme=b'http',
@@ -55,10 +90,16 @@
         connection = httpcore.AsyncHTTP11Connection(
             origin=url.origin, stream=self._stream
         )
-        try:
-            self._response = await connection.handle_async_request(request)
-        except Exception as error:
-            raise _translate(error) from error
+        with anyio.move_on_after(silence_s) as scope:
+            try:
+                self._response = await connection.handle_async_request(request)
+            except exceptions.ExchangeBroken:
+                raise
+            except Exception as error:
+                raise _translate(error) from error
+        if scope.cancelled_caught:
+            raise exceptions.ExchangeBroken('silent')
+        self._stream.lift_limit()
         return self._response.status, self._response.headers
 
     async def read(self):
