Take a stream without whole events for a silent one

What callers saw: a target that sends comments, or an event a line at a time, kept a stream without progress until its deadline, and comments without end took the entry's whole processor for as long.

Cause: any byte counted as a sign of life, comments were passed on as events, and only an unfinished event was limited in bytes.

A stream now has to bring a whole event within the time for silence and within the bytes of one event; comments are dropped. The splitter cuts its buffer once for each part in place of once for each event.

--- a/packages/savoryyoke-gateway/savoryyoke_gateway/tries.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/tries.py
@@ -174,10 +174,15 @@
     ):
         """Pass whole events on as they come; return what follows the end."""
         splitter = framing.EventSplitter(after=resume_after)
+        advanced_s = self._clock()
         async for part in exchange.read():
             whole = _split(splitter, part)
-            if whole:
+            if not whole:
+                if self._clock() - advanced_s > conf.STREAM_SILENCE_S:
+                    raise exceptions.ExchangeBroken('silent')
+            else:
                 await self._pass_on(call, target, head, whole)
+                advanced_s = self._clock()
                 move = self._choose_move(call, target, attempt)
                 if move is not None:
                     return move
--- a/packages/savoryyoke/savoryyoke/forwarding/framing.py
+++ b/packages/savoryyoke/savoryyoke/forwarding/framing.py
@@ -7,6 +7,7 @@
 from savoryyoke.forwarding import exceptions
 
 _SEPARATOR = re.compile(rb'\r\n\r\n|\n\n|\r\r')
+_COMMENT = re.compile(rb'(?::[^\r\n]*[\r\n]+)+')
 _ID_LINE = re.compile(rb'^id:[ ]?([^\r\n]*)', re.MULTILINE)
 
 
@@ -22,12 +23,13 @@
     """Collect bytes and hand out whole events.
 
     Ids are numbers that grow; an event with an id that was handed out
-    before is dropped.
+    before is dropped, and so are comments.
     """
 
     def __init__(self, *, after=None):
         self._buffer = bytearray()
         self._last_number = _to_number(after)
+        self._idle_bytes = 0
 
     @property
     def has_rest(self):
@@ -37,21 +39,26 @@
     def feed(self, data):
         """Take received bytes and return the events that they complete.
 
-        Raise ``MalformedStream`` where an event exceeds its limit.
+        Raise ``MalformedStream`` where more bytes than an event may have
+        bring none.
         """
         self._buffer += data
         completed = []
-        while (match := _SEPARATOR.search(self._buffer)) is not None:
-            raw = bytes(self._buffer[: match.end()])
-            del self._buffer[: match.end()]
-            event = self._build(raw)
+        start = 0
+        while (match := _SEPARATOR.search(self._buffer, start)) is not None:
+            event = self._build(bytes(self._buffer[start : match.end()]))
+            start = match.end()
             if event is not None:
                 completed.append(event)
-        if len(self._buffer) > conf.EVENT_LIMIT_BYTES:
-            raise exceptions.MalformedStream('an event exceeds its limit')
+        del self._buffer[:start]
+        self._idle_bytes = 0 if completed else self._idle_bytes + len(data)
+        if self._idle_bytes > conf.EVENT_LIMIT_BYTES:
+            raise exceptions.MalformedStream('too many bytes for an event')
         return completed
 
     def _build(self, raw):
+        if _COMMENT.fullmatch(raw):
+            return None
         match = _ID_LINE.search(raw)
         if match is None:
             return StreamEvent(data=raw, event_id=None)
--- a/packages/savoryyoke/tests/forwarding/test_framing.py
+++ b/packages/savoryyoke/tests/forwarding/test_framing.py
@@ -41,3 +41,20 @@
         splitter = framing.EventSplitter()
         with self.assertRaises(exceptions.MalformedStream):
             splitter.feed(b'x' * (conf.EVENT_LIMIT_BYTES + 1))
+
+    def test_comments_are_dropped(self):
+        splitter = framing.EventSplitter()
+        found = splitter.feed(b': a\n\n:\r\n\r\n: b\nid: 1\n\n: c\n\n')
+        self.assertEqual([b': b\nid: 1\n\n'], [x.data for x in found])
+
+    def test_endless_comments_are_refused(self):
+        splitter = framing.EventSplitter()
+        with self.assertRaises(exceptions.MalformedStream):
+            for _ in range(conf.EVENT_LIMIT_BYTES // 4000 + 2):
+                self.assertEqual([], splitter.feed(b': x\n\n' * 1000))
+
+    def test_long_stream_of_events_is_not_limited(self):
+        splitter = framing.EventSplitter()
+        event = b'data: ' + b'x' * 65536 + b'\n\n'
+        for _ in range(2 * conf.EVENT_LIMIT_BYTES // len(event)):
+            self.assertEqual(1, len(splitter.feed(event)))
