Count silent tries towards a crash that the list shows

What callers would see: a request under which targets go dark, without a reset, is sent on and on.

Cause: only connections that closed counted as broken. A VM without power closes none and refuses none, so nothing was left to tell that its target had crashed; the list drops it two to four seconds later.

--- a/packages/savoryyoke-gateway/savoryyoke_gateway/crashes.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/crashes.py
@@ -13,8 +13,10 @@
 from savoryyoke_gateway import exceptions
 from savoryyoke_gateway import exchanges
 
-# Reasons of broken tries that a crash may have, see ``exchanges``.
-_CRASH_REASONS = frozenset({'reset', 'malformed', 'torn'})
+# Reasons of broken tries that a crash may have, see ``exchanges``. A VM that
+# has lost its power says nothing; only the list then shows the crash.
+_CLOSED_REASONS = frozenset({'reset', 'malformed', 'torn'})
+_CRASH_REASONS = _CLOSED_REASONS | {'silent'}
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -44,9 +46,10 @@
 
     async def run(self):
         """Carry out later probes until cancelled."""
-        async for probe in self._due:
-            await anyio.sleep(max(probe.due_s - self._clock(), 0.0))
-            await self._probe(probe.target)
+        async with self._later, self._due:
+            async for probe in self._due:
+                await anyio.sleep(max(probe.due_s - self._clock(), 0.0))
+                await self._probe(probe.target)
 
     def note_targets(self, targets):
         """Take over the targets that are published."""
@@ -62,9 +65,8 @@
 
     async def examine(self, call, target, *, reason):
         """Find out whether a target crashed under a try that broke."""
-        is_broken = reason in _CRASH_REASONS
-        self._note_lost(call, target, is_broken=is_broken)
-        if is_broken and not await self._probe(target):
+        self._note_lost(call, target, is_broken=reason in _CRASH_REASONS)
+        if reason in _CLOSED_REASONS and not await self._probe(target):
             self._probe_later(target)
 
     async def _probe(self, target):
--- a/packages/savoryyoke/savoryyoke/quarantine/events.py
+++ b/packages/savoryyoke/savoryyoke/quarantine/events.py
@@ -89,7 +89,7 @@
     """Report at an entry a try that a target did not answer in full.
 
     ``target`` is a ``placement.models.Target``. ``is_broken`` is false where
-    the entry or its caller gave up while the connection was sound.
+    the caller left before the target answered or fell silent.
     """
 
     target: object
