Space the trials of a quarantined request on further releases

What callers would see: on a platform that gives each start of a target a release of its own, a request that crashes targets is never stopped.

Cause: a quarantine by release lets a request run on any release that it has not crashed, at once and on all targets that run one.

After its second release, further ones are tried 30 s after the last crash, then doubly late.

--- a/packages/savoryyoke-gateway/savoryyoke_gateway/knowledge.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/knowledge.py
@@ -144,6 +144,7 @@
                     data_centre=target.data_centre,
                     draining=target.is_draining,
                     in_service=target.is_in_service,
+                    release=target.release,
                     as_of=self.as_of,
                     source=source,
                 )
--- a/packages/savoryyoke/savoryyoke/quarantine/aggregates.py
+++ b/packages/savoryyoke/savoryyoke/quarantine/aggregates.py
@@ -85,6 +85,7 @@
                 releases=record.releases,
                 crashes=record.crashes,
                 retry_after_s=max(left_s, self._policy.retrial_timeout_s),
+                includes_others=self._withholds_others(record, now_s),
             ),
         )
 
@@ -201,6 +202,14 @@
             self._policy.retrial_longest_s,
         )
 
+    def _withholds_others(self, record, now_s):
+        """Return whether releases without a crash are withheld as well."""
+        crashed_more = len(record.releases) - 1
+        if not crashed_more:
+            return False
+        wait_s = self._policy.release_trial_s * 2.0 ** (crashed_more - 1)
+        return now_s - record.newest_s < wait_s
+
     def _begin_retrial(self, event, now_s):
         """Return whether this call may try a quarantined request again."""
         oldest_s = now_s - self._policy.retrial_timeout_s
--- a/packages/savoryyoke/savoryyoke/quarantine/conf.py
+++ b/packages/savoryyoke/savoryyoke/quarantine/conf.py
@@ -35,6 +35,10 @@
     ``retrial_longest_s``. A retrial without an outcome blocks others for
     ``retrial_timeout_s``. A crashed engine takes its group out for up to five
     seconds: a retrial in ten minutes costs below one part in a hundred.
+
+    A request that has crashed a second release is tried on a further one
+    ``release_trial_s`` after its last crash, and doubly late for each more,
+    since some platforms give each start of a target a release of its own.
     """
 
     crashes_to_quarantine: int = 3
@@ -48,6 +52,7 @@
     retrial_s: float = 600.0
     retrial_longest_s: float = 3000.0
     retrial_timeout_s: float = 60.0
+    release_trial_s: float = 30.0
 
     def __post_init__(self):
         if min(self.crashes_to_quarantine, self.crashes_when_alone) < 2:
--- a/packages/savoryyoke/savoryyoke/quarantine/decisions.py
+++ b/packages/savoryyoke/savoryyoke/quarantine/decisions.py
@@ -37,13 +37,14 @@
     """Send the request to no target that runs one of ``releases``.
 
     ``retry_after_s`` is the time until it may be tried there again, after
-    ``crashes``.
+    ``crashes``. With ``includes_others`` it goes to no other release either.
     """
 
     fingerprint: bytes
     releases: frozenset[str]
     crashes: int
     retry_after_s: float
+    includes_others: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/savoryyoke/tests/quarantine/test_fleet.py
+++ b/packages/savoryyoke/tests/quarantine/test_fleet.py
@@ -84,6 +84,17 @@
     def test_targets_that_return_under_their_ids_before_the_list_says_so(self):
         self.check([build_fatal(0)] * 2, keeps_ids=True, list_lag_s=0.8)
 
+    def test_each_start_of_a_target_has_a_release_of_its_own(self):
+        self.check(
+            [build_fatal(0)] * 2, release=lambda target_id, now_s: target_id
+        )
+
+    def test_targets_are_replaced_by_another_release(self):
+        def release(target_id, now_s):
+            return 'v1' if now_s < 10.0 else 'v2'
+
+        self.check([build_fatal(0)] * 2, release=release)
+
     def test_many_requests(self):
         self.check([build_fatal(x) for x in range(8)])
 
--- a/packages/savoryyoke/tests/quarantine/test_withholding.py
+++ b/packages/savoryyoke/tests/quarantine/test_withholding.py
@@ -110,6 +110,17 @@
         self.crash(4, release='v2')
         self.assert_withheld('v1', 'v2')
 
+    def test_each_further_release_is_tried_later(self):
+        self.assertFalse(self.offer().includes_others)
+        self.crash(4, release='v2')
+        wait_s = POLICY.release_trial_s
+        self.assertTrue(self.offer(now_s=wait_s - 1.0).includes_others)
+        self.assertFalse(self.offer(now_s=wait_s).includes_others)
+        self.crash(5, release='v3', now_s=wait_s)
+        late_s = 3 * wait_s
+        self.assertTrue(self.offer(now_s=late_s - 1.0).includes_others)
+        self.assertFalse(self.offer(now_s=late_s).includes_others)
+
     def test_answer_of_another_release_frees_only_that(self):
         self.crash(4, release='v2')
         self.apply(events.CallSucceeded(fingerprint=FATAL, release='v2'))
--- a/packages/savoryyoke/tests/quarantine/world.py
+++ b/packages/savoryyoke/tests/quarantine/world.py
@@ -85,6 +85,7 @@
         hears=lambda one, other, now_s: True,
         loss=0.0,
         keeps_ids=False,
+        release=lambda target_id, now_s: 'v1',
         list_lag_s=0.0,
     ):
         self.source = random.Random(seed)
@@ -92,6 +93,7 @@
         self._hears = hears
         self._loss = loss
         self._keeps_ids = keeps_ids
+        self._release = release
         self._list_lag_s = list_lag_s
         self._queue = []
         self._order = itertools.count()
@@ -165,6 +167,7 @@
             slots=6,
             is_draining=False,
             is_in_service=True,
+            release=self._release(target_id, self.now_s),
         )
         if target.description is None:
             self._publish(target, description)
@@ -189,16 +192,22 @@
         self._try(run.kind, run.content, run.entry, run.tried)
 
     def _try(self, kind, content, entry, tried):
-        up = [x for x in self.targets if x.is_up and len(x.runs) < 6]
-        if tried >= kind.attempts or not up:
+        if tried >= kind.attempts:
             self._end(kind)
             return
         offered = events.SendOffered(
             call_id=str(next(self._numbers)), fingerprint=content
         )
         (decision,) = entry.quarantine.apply(offered, now_s=self.now_s)
+        up = [x for x in self.targets if x.is_up and len(x.runs) < 6]
         if isinstance(decision, decisions.Withhold):
-            self.refused[content] += 1
+            withheld = decision.releases
+            up = [x for x in up if x.description.release not in withheld]
+            if decision.includes_others or not up:
+                self.refused[content] += 1
+                self._end(kind)
+                return
+        if not up:
             self._end(kind)
             return
         target = min(up, key=lambda x: (len(x.runs), self.source.random()))
@@ -221,7 +230,9 @@
         run.is_over = True
         target.runs.remove(run)
         self.served[run.content] += 1
-        succeeded = events.CallSucceeded(fingerprint=run.content)
+        succeeded = events.CallSucceeded(
+            fingerprint=run.content, release=target.description.release
+        )
         run.entry.quarantine.apply(succeeded, now_s=self.now_s)
         self._end(run.kind)
 
