Leave the queue of later probes open while requests end

A stopping entry's last requests may still ask for a probe after the task that carries probes out was cancelled; a closed queue would turn that into an error of the request.

--- a/packages/savoryyoke-gateway/savoryyoke_gateway/crashes.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/crashes.py
@@ -46,10 +46,9 @@
 
     async def run(self):
         """Carry out later probes until cancelled."""
-        async with self._later, self._due:
-            async for probe in self._due:
-                await anyio.sleep(max(probe.due_s - self._clock(), 0.0))
-                await self._probe(probe.target)
+        async for probe in self._due:
+            await anyio.sleep(max(probe.due_s - self._clock(), 0.0))
+            await self._probe(probe.target)
 
     def note_targets(self, targets):
         """Take over the targets that are published."""
