Let the soak's targets vanish with their process

The proxy before a target went on taking connections after the target's process had ended, as no VM does, so entries learnt of crashes from the list alone. The proxy now stops listening once its upstream refuses a connection.

The check leaves out entries that have run for less than the time to learn: the users count an entry only once it has run that long since its start. A test plays restarts beside two such callers.

--- a/packages/savoryyoke-soak/savoryyoke_soak/fleet.py
+++ b/packages/savoryyoke-soak/savoryyoke_soak/fleet.py
@@ -37,6 +37,7 @@
         )
         self.settings_path = pathlib.Path(directory, f'entry-{number}.json')
         self.lives = 0
+        self.started_s = None
         self.child = None
         # The run that callers' address belongs to.
         self.life = f'entry-{number}.0'
@@ -124,6 +125,7 @@
             environment={_SETTINGS_VARIABLE: str(place.settings_path)},
             take_line=place.lines.append,
         )
+        place.started_s = time.monotonic()
         await self._group.start(place.child.run)
 
     def write_settings(self, place):
@@ -162,6 +164,7 @@
             lines = '\n'.join(place.lines[-conf.LINES_SHOWN :])
             raise StartFailed(f'entry-{place.number}\n{lines}')
         place.life = f'entry-{place.number}.{place.lives}'
+        self._history.began_s_by_life[place.life] = place.started_s
         place.is_up = True
 
     def find_life(self, address):
@@ -198,7 +201,9 @@
         await self._group.start(place.child.run)
         with anyio.fail_after(conf.START_S):
             await has_address.wait()
-        place.proxy = proxies.Proxy(upstream=upstream[0])
+        place.proxy = proxies.Proxy(
+            upstream=upstream[0], ends_with_upstream=True
+        )
         address = await self._group.start(place.proxy.serve)
         place.target_id = target_id
         place.value = published.build_target(
--- a/packages/savoryyoke-soak/savoryyoke_soak/promises.py
+++ b/packages/savoryyoke-soak/savoryyoke_soak/promises.py
@@ -197,6 +197,8 @@
 def _is_out_of_touch(history, call):
     """Tell whether an entry may not have heard of crashes yet."""
     from_s = call.sent_s - conf.LEARNING_S - conf.BUSY_S
+    if history.began_s_by_life.get(call.life, 0.0) > from_s:
+        return True
     return any(
         trouble.on == call.life and trouble.overlaps(from_s, call.ended_s)
         for trouble in history.troubles
--- a/packages/savoryyoke-soak/savoryyoke_soak/proxies.py
+++ b/packages/savoryyoke-soak/savoryyoke_soak/proxies.py
@@ -26,11 +26,15 @@
     """Own a listening address in front of one upstream address.
 
     ``mode`` holds for open connections too. Bytes that are cut are lost;
-    their connection is reset when the cut ends, as TCP would give up.
+    their connection is reset when the cut ends, as TCP would give up. With
+    ``ends_with_upstream``, nothing listens any more once the upstream process
+    has refused a connection.
     """
 
-    def __init__(self, *, upstream):
+    def __init__(self, *, upstream, ends_with_upstream=False):
         self._upstream = upstream
+        self._ends_with_upstream = ends_with_upstream
+        self._listening = anyio.CancelScope()
         self._connections = set()
         self._torn = set()
         self._mode = Mode.PASS
@@ -50,7 +54,8 @@
         address = listener.extra(anyio.abc.SocketAttribute.local_address)
         task_status.started(address[:2])
         async with listener:
-            await listener.serve(self._handle)
+            with self._listening:
+                await listener.serve(self._handle)
 
     async def _handle(self, near):
         with anyio.CancelScope() as scope:
@@ -61,6 +66,8 @@
             except OSError:
                 # The upstream process is gone: so is this connection.
                 scope.cancel()
+                if self._ends_with_upstream:
+                    self._listening.cancel()
             finally:
                 self._connections.discard(scope)
                 self._torn.discard(scope)
--- a/packages/savoryyoke-soak/savoryyoke_soak/records.py
+++ b/packages/savoryyoke-soak/savoryyoke_soak/records.py
@@ -91,5 +91,6 @@
     probes: list[Probe] = dataclasses.field(default_factory=list)
     troubles: list[Trouble] = dataclasses.field(default_factory=list)
     stops: list[Stop] = dataclasses.field(default_factory=list)
+    began_s_by_life: dict = dataclasses.field(default_factory=dict)
     written_s_by_version: dict = dataclasses.field(default_factory=dict)
     draining_s_by_target: dict = dataclasses.field(default_factory=dict)
--- a/packages/savoryyoke-soak/tests/test_promises.py
+++ b/packages/savoryyoke-soak/tests/test_promises.py
@@ -191,6 +191,11 @@
         self.assert_broken('crashing')
         self.trouble('frozen', from_s=late_s, until_s=late_s + 0.5)
         self.assert_broken()
+        self.history.troubles.clear()
+        self.history.began_s_by_life[LIFE] = late_s
+        self.assert_broken()
+        self.history.began_s_by_life[LIFE] = 0.0
+        self.assert_broken('crashing')
 
     def test_entry_that_does_not_end_or_ends_badly(self):
         for status in (None, 1):
--- a/packages/savoryyoke-soak/tests/test_soak.py
+++ b/packages/savoryyoke-soak/tests/test_soak.py
@@ -29,6 +29,15 @@
     'crashing': (build_fault('fatal-request'),),
     'stop': (build_fault('stop'),),
 }
+# Two callers whose request crashes targets, while entries come and go.
+CRASHES_AND_RESTARTS = (
+    build_fault('fatal-request', at_s=0.5, for_s=4.0),
+    build_fault('fatal-request', at_s=0.6, for_s=4.0, place=1),
+    build_fault('freeze', place=2, at_s=2.0),
+    build_fault('kill', place=0, at_s=4.0, for_s=0.3),
+    build_fault('kill', place=1, at_s=4.0, for_s=0.3),
+    build_fault('stop', place=3, at_s=5.0, for_s=0.3),
+)
 # Seeds that have found a fault, with its cause.
 REGRESSIONS_BY_SEED = {}
 
@@ -77,6 +86,14 @@
                 self.assertGreater(answered, len(outcome.history.calls) / 2)
                 self.assertTrue(outcome.history.probes)
 
+    def test_request_that_crashes_targets_while_entries_are_replaced(self):
+        outcome = runner.play(
+            seed=1, seconds=8.0, planned=CRASHES_AND_RESTARTS
+        )
+        self.assertEqual([], outcome.breaches)
+        sent = {call.sent_body for call in outcome.history.calls}
+        self.assertEqual(3, len(sent))
+
     def test_each_broken_promise_is_caught(self):
         for promise in mutants.MUTATIONS_BY_PROMISE:
             with self.subTest(promise=promise):
