Drop what no test reads from the stand-in that restarts

Arrival kept ids and RestartedReplica the times of crashes, of which only a throw-away trial made use; and FakeReplica's docstring said that its fatal requests may change at any time, which a tuple does not. No program changes.

--- a/packages/savoryyoke-fakes/savoryyoke_fakes/deployment/replica.py
+++ b/packages/savoryyoke-fakes/savoryyoke_fakes/deployment/replica.py
@@ -66,8 +66,7 @@
     ``oddities`` are used up one a request; after them all is regular.
     Replicas that share ``common_oddities`` use those up together, and note
     their runs in ``common_runs`` in order. ``work_s`` is what an answer and
-    each event of a stream take. ``fatal_requests`` may be changed at any
-    time.
+    each event of a stream take. ``fatal_requests`` are ``FatalRequest``.
     """
 
     def __init__(
--- a/packages/savoryyoke-fakes/savoryyoke_fakes/deployment/restarts.py
+++ b/packages/savoryyoke-fakes/savoryyoke_fakes/deployment/restarts.py
@@ -15,27 +15,19 @@
     """Record a request that began to run at a replica."""
 
     at_s: float
-    replica_id: str
-    request_id: str
     body: bytes
 
 
 class RunLog:
     """Collect the runs of a replica as arrivals in a shared list."""
 
-    def __init__(self, *, replica_id, arrivals):
-        self._replica_id = replica_id
+    def __init__(self, *, arrivals):
         self._arrivals = arrivals
 
     def append(self, run):
         """Record one run."""
         self._arrivals.append(
-            Arrival(
-                at_s=time.monotonic(),
-                replica_id=self._replica_id,
-                request_id=run.request.headers.get('x-request-id', ''),
-                body=run.request.body,
-            )
+            Arrival(at_s=time.monotonic(), body=run.request.body)
         )
 
 
@@ -59,7 +51,6 @@
         self._work_s = work_s
         self.fatal_requests = fatal_requests
         self.release = 'v1'
-        self.crashed_s = []
         self.current = None
 
     async def run(self, *, task_status):
@@ -71,9 +62,7 @@
             self.current = replica.FakeReplica(
                 replica_id=replica_id,
                 common_oddities=[],
-                common_runs=RunLog(
-                    replica_id=replica_id, arrivals=self._arrivals
-                ),
+                common_runs=RunLog(arrivals=self._arrivals),
                 work_s=self._work_s,
                 fatal_requests=self.fatal_requests,
             )
@@ -86,7 +75,6 @@
                 else:
                     self._store.remove(f'servers/{published_id}')
                 published_id = replica_id
-            self.crashed_s.append(time.monotonic())
             await anyio.sleep(self._down_s)
 
     async def _serve(self, port, *, task_status):
