Tell all requests of a crash, however many ran at the target

Cause: an entry cut the reports of a heartbeat off after eight parts and began with the first part again each time, so what was beyond 128 requests of one crash was never told, and the digests never agreed.

Ruled out: a longer datagram (8 KB is the limit of all messages), and a queue of parts at the sender, which would delay news by up to 16 heartbeats.

The evidence now counts the parts of each crash that were passed on: news goes first, and what did not fit is told next time.

--- a/packages/savoryyoke-gateway/savoryyoke_gateway/suspects.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/suspects.py
@@ -1,7 +1,5 @@
 """Keep requests that crash targets from being sent again."""
 
-import dataclasses
-
 from savoryyoke.quarantine import aggregates
 from savoryyoke.quarantine import conf as quarantine_conf
 from savoryyoke.quarantine import decisions
@@ -73,14 +71,14 @@
         if all(x.evidence_digest == digest for x in heartbeats):
             return ()
         shared = self._apply(
-            events.HeartbeatDue(report_limit=conf.CRASH_REPORTS_PER_HEARTBEAT)
+            events.HeartbeatDue(
+                report_limit=conf.CRASH_REPORTS_PER_HEARTBEAT,
+                digests_per_report=conf.CRASH_DIGESTS_PER_REPORT,
+            )
         )
         return tuple(
-            part
-            for decision in shared
-            for report in decision.reports
-            for part in _split_report(report)
-        )[: conf.CRASH_REPORTS_PER_HEARTBEAT]
+            report for decision in shared for report in decision.reports
+        )
 
     def _apply(self, event):
         return self._quarantine.apply(event, now_s=self._clock())
@@ -105,16 +103,3 @@
             logs.write_event(
                 'request_released', content=fingerprint.hex(), source=source
             )
-
-
-def _split_report(report):
-    """Return reports of one crash that are small enough for a datagram."""
-    digests = sorted(report.fingerprints | report.cleared)
-    size = conf.CRASH_DIGESTS_PER_REPORT
-    for start in range(0, len(digests), size):
-        part = frozenset(digests[start : start + size])
-        yield dataclasses.replace(
-            report,
-            fingerprints=report.fingerprints & part,
-            cleared=report.cleared & part,
-        )
--- a/packages/savoryyoke/savoryyoke/quarantine/aggregates.py
+++ b/packages/savoryyoke/savoryyoke/quarantine/aggregates.py
@@ -155,7 +155,9 @@
     @_apply.register
     def _(self, event: events.HeartbeatDue, now_s):
         reports = self._evidence.next_reports(
-            count=event.report_limit, now_s=now_s
+            count=event.report_limit,
+            now_s=now_s,
+            digests_per_report=event.digests_per_report,
         )
         if not reports:
             return ()
--- a/packages/savoryyoke/savoryyoke/quarantine/events.py
+++ b/packages/savoryyoke/savoryyoke/quarantine/events.py
@@ -79,9 +79,13 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class HeartbeatDue:
-    """Report that a heartbeat has room for ``report_limit`` reports."""
+    """Report that a heartbeat has room for ``report_limit`` reports.
+
+    Each may hold ``digests_per_report`` requests; None: any number.
+    """
 
     report_limit: int
+    digests_per_report: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/savoryyoke/savoryyoke/quarantine/evidence.py
+++ b/packages/savoryyoke/savoryyoke/quarantine/evidence.py
@@ -4,6 +4,7 @@
 import dataclasses
 import enum
 import hashlib
+import math
 
 
 class Status(enum.Enum):
@@ -49,13 +50,20 @@
     cleared: frozenset[bytes]
     expires_s: float
     release: str
-    times_sent: int = 0
+    parts_sent: int = 0
 
     @property
     def suspects(self):
         """Return the fingerprints that may have caused the crash."""
         return self.fingerprints - self.cleared
 
+    def count_parts(self, digests_per_report):
+        """Return how many reports of limited size describe the crash."""
+        if digests_per_report is None:
+            return 1
+        digests = len(self.fingerprints | self.cleared)
+        return max(math.ceil(digests / digests_per_report), 1)
+
 
 class Evidence:
     """Hold crashes; merging is commutative, associative and idempotent.
@@ -167,21 +175,33 @@
             self._report(crash_id, now_s) for crash_id in sorted(crash_ids)
         )
 
-    def next_reports(self, *, count, now_s):
+    def next_reports(self, *, count, now_s, digests_per_report=None):
         """Return the reports that were passed on least often.
 
         News goes first; later all crashes take turns, so that processes
-        which start or were cut off catch up.
+        which start or were cut off catch up. A crash with more than
+        ``digests_per_report`` requests is told in several reports; what does
+        not fit is told next time.
         """
-        lively = [
-            (crash.times_sent, crash_id)
+        lively = sorted(
+            (
+                crash.parts_sent // crash.count_parts(digests_per_report),
+                crash_id,
+            )
             for crash_id, crash in self._crashes_by_id.items()
             if self._is_shared(crash, now_s)
-        ]
-        chosen = [crash_id for _, crash_id in sorted(lively)[:count]]
-        for crash_id in chosen:
-            self._crashes_by_id[crash_id].times_sent += 1
-        return tuple(self._report(crash_id, now_s) for crash_id in chosen)
+        )
+        made = []
+        for _, crash_id in lively:
+            crash = self._crashes_by_id[crash_id]
+            parts = crash.count_parts(digests_per_report)
+            left = parts - crash.parts_sent % parts
+            for _ in range(min(left, count - len(made))):
+                made.append(
+                    self._report_part(crash_id, now_s, digests_per_report)
+                )
+                crash.parts_sent += 1
+        return tuple(made)
 
     def forget_expired(self, *, now_s):
         """Drop the crashes whose time is over."""
@@ -218,7 +238,7 @@
         self._forget_derived()
 
     def _note_change(self, crash):
-        crash.times_sent = 0
+        crash.parts_sent = 0
         self._forget_derived()
 
     def _forget_derived(self):
@@ -243,6 +263,22 @@
                 digest.update(part)
         return int.from_bytes(digest.digest(), 'big')
 
+    def _report_part(self, crash_id, now_s, digests_per_report):
+        """Return the report of a crash that is next, with limited size."""
+        report = self._report(crash_id, now_s)
+        if digests_per_report is None:
+            return report
+        crash = self._crashes_by_id[crash_id]
+        number = crash.parts_sent % crash.count_parts(digests_per_report)
+        start = number * digests_per_report
+        digests = sorted(report.fingerprints | report.cleared)
+        part = frozenset(digests[start : start + digests_per_report])
+        return dataclasses.replace(
+            report,
+            fingerprints=report.fingerprints & part,
+            cleared=report.cleared & part,
+        )
+
     def _report(self, crash_id, now_s):
         crash = self._crashes_by_id[crash_id]
         return CrashReport(
