Spare targets that say they leave or ask for a pause

Cause: entries passed an answer's Server-Leaving and Retry-After on or dropped them, and went on sending. A target that had said that it leaves got requests until the list said so; one that had asked for a pause of seconds was asked again after 0.1 s, and its refusals counted as failures.

Ruled out: going by the list alone (it lags, and may be away), and forgetting a notice with the target's entry in the list: an entry that lapses and comes back names the same incarnation.

What a target says of itself is kept by incarnation in placement.notices: one that leaves gets nothing more, whatever the list says; one that pauses gets nothing until the longest end, then one request more at a time each 0.1 s. If all pause for longer than a request waits, it is refused at once with the time that is left. Entries tell each other of leaving targets as a hint that lapses: such a target comes last. A 421 comes from another instance and says nothing of the target. A heartbeat that outgrows a datagram leaves parts out instead of ending the process.

--- a/packages/savoryyoke-fakes/savoryyoke_fakes/deployment/replica.py
+++ b/packages/savoryyoke-fakes/savoryyoke_fakes/deployment/replica.py
@@ -42,6 +42,10 @@
     ENDLESS_CHUNK_SIZE = 'endless-chunk-size'
     ENDLESS_TRAILERS = 'endless-trailers'
     DRIPPED_HEAD = 'dripped-head'
+    DRIPPED_BODY = 'dripped-body'
+    DRIPPED_CHUNK_SIZE = 'dripped-chunk-size'
+    DRIPPED_TRAILERS = 'dripped-trailers'
+    DRIPPED_STREAM_END = 'dripped-stream-end'
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -67,6 +71,8 @@
     Replicas that share ``common_oddities`` use those up together, and note
     their runs in ``common_runs`` in order. ``work_s`` is what an answer and
     each event of a stream take. ``fatal_requests`` are ``FatalRequest``.
+    While ``is_leaving``, all answers say so; while there is a ``pause``, all
+    requests are refused with it as the time to return.
     """
 
     def __init__(
@@ -83,6 +89,8 @@
         self.events = events
         self.oddities = collections.deque()
         self.arrivals = []
+        self.is_leaving = False
+        self.pause = None
         self._common_oddities = common_oddities
         self._common_runs = common_runs
         self._work_s = work_s
@@ -105,9 +113,11 @@
         if oddity is Oddity.OTHER_INSTANCE or (
             expected is not None and expected != self.replica_id
         ):
-            await connection.answer(421, headers=[('X-Instance', 'other')])
-        elif oddity is Oddity.REFUSE:
-            await connection.answer(503, headers=[('X-Not-Run', '1')])
+            headers = [('X-Instance', 'other'), *self._build_notices()]
+            await connection.answer(421, headers=headers)
+        elif oddity is Oddity.REFUSE or self.pause is not None:
+            headers = [('X-Not-Run', '1'), *self._build_notices()]
+            await connection.answer(503, headers=headers)
         elif oddity is Oddity.RESET_BEFORE:
             await connection.reset()
         else:
@@ -140,12 +150,22 @@
             connection, headers, body
         )
 
+    def _build_notices(self):
+        """Return the headers that concern the replica, not the request."""
+        notices = []
+        if self.is_leaving:
+            notices.append(('Server-Leaving', '1'))
+        if self.pause is not None:
+            notices.append(('Retry-After', self.pause))
+        return notices
+
     def _build_headers(self, request, oddity):
         request_id = request.headers.get('x-request-id', '')
         headers = [
             ('X-Request-Id', request_id),
             ('X-Server-Seal', f'seal-{self.replica_id}'),
             ('X-Load', '1,0,4'),
+            *self._build_notices(),
         ]
         if oddity is Oddity.OTHER_REQUEST:
             headers[0] = ('X-Request-Id', 'somebody-else')
@@ -177,6 +197,9 @@
                 await _flood(connection, b'', chunk, pause_s)
                 return
             await connection.send_chunk(event)
+        if oddity is Oddity.DRIPPED_STREAM_END:
+            await _flood(connection, b'0;x=', b'x', 0.05)
+            return
         if oddity is Oddity.TORN_EVENT:
             await connection.reset()
             return
@@ -273,6 +296,13 @@
     Oddity.ENDLESS_CHUNK_SIZE: (_CHUNKED_HEAD + b'5;x=', b'x' * 65536, 0.0),
     Oddity.ENDLESS_TRAILERS: (_CHUNKED_HEAD + b'0\r\n', _FIELD, 0.0),
     Oddity.DRIPPED_HEAD: (_STATUS_LINE, b'X-Field: x\r\n', 0.05),
+    Oddity.DRIPPED_BODY: (_SIGNED_HEAD + b'\r\n', b'x', 0.05),
+    Oddity.DRIPPED_CHUNK_SIZE: (_CHUNKED_HEAD + b'5;x=', b'x', 0.05),
+    Oddity.DRIPPED_TRAILERS: (
+        _CHUNKED_HEAD + b'1\r\nx\r\n0\r\n',
+        b'X-Field: x\r\n',
+        0.05,
+    ),
 }
 _EVENT_FLOODS_BY_ODDITY = {
     Oddity.ENDLESS_EVENT: (b'data: ' + b'x' * 65536, 0.0),
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/daemon.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/daemon.py
@@ -67,7 +67,10 @@
             grace_s=settings.grace_s, clock=clock
         )
         self._dispatching = dispatching.Dispatching(
-            own_data_centre=settings.data_centre, draw=draw, clock=clock
+            own_data_centre=settings.data_centre,
+            draw=draw,
+            clock=clock,
+            metrics=self._metrics,
         )
         self._suspects = suspects.Suspects(metrics=self._metrics, clock=clock)
         self._crashes = crashes.CrashWatch(
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/dispatching.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/dispatching.py
@@ -24,7 +24,8 @@
 class Dispatching:
     """Own the dispatchers of all services of this entry."""
 
-    def __init__(self, *, own_data_centre, draw, clock, policy=None):
+    def __init__(self, *, own_data_centre, draw, clock, metrics, policy=None):
+        self._metrics = metrics
         self._own_data_centre = own_data_centre
         self._draw = draw
         self._clock = clock
@@ -33,9 +34,11 @@
         self._peer_reports_by_id = {}
         self._paces_by_address = {}
         self._waiters_by_id = {}
+        self._unusable_pause_ids = set()
 
     def publish(self, *, services_by_name, targets, entries):
         """Take over services and targets; ``entries`` share cold limits."""
+        self._unusable_pause_ids &= {x.target_id for x in targets}
         targets_by_service = {name: [] for name in services_by_name}
         for target in targets:
             targets_by_service.setdefault(target.service_name, []).append(
@@ -60,6 +63,68 @@
         self._peer_reports_by_id.pop(peer_id, None)
         self._apply_to_all(events.PeerLost(peer_id=peer_id))
 
+    def note_head(self, service_name, target, head):
+        """Take over what a target's answer says of the target itself."""
+        current = self._dispatchers_by_service[service_name]
+        notices = current.pool.notices
+        if (
+            head.unusable_pause is not None
+            and target.target_id not in self._unusable_pause_ids
+        ):
+            self._unusable_pause_ids.add(target.target_id)
+            logs.write_event(
+                'pause_refused',
+                level='warning',
+                target=target.target_id,
+                value=head.unusable_pause,
+                reason='not a number of seconds',
+            )
+        if head.is_leaving and not notices.is_leaving(target):
+            self._apply(current, events.TargetLeaving(target=target))
+            self._metrics.count_notice('leaving')
+            logs.write_event(
+                'target_leaving',
+                target=target.target_id,
+                incarnation=target.incarnation,
+                service=service_name,
+                source='answer',
+            )
+        if head.pause_s is not None:
+            self._note_pause(current, target, head.pause_s)
+
+    def _note_pause(self, current, target, pause_s):
+        notices = current.pool.notices
+        now_s = self._clock()
+        before_s = notices.pause_end_s(target, now_s=now_s)
+        self._apply(
+            current, events.TargetPaused(target=target, pause_s=pause_s)
+        )
+        end_s = notices.pause_end_s(target, now_s=now_s)
+        if end_s == before_s:
+            return
+        self._metrics.count_notice('paused')
+        logs.write_event(
+            'target_paused',
+            target=target.target_id,
+            incarnation=target.incarnation,
+            service=target.service_name,
+            asked_s=pause_s,
+            granted_s=end_s - now_s if end_s is not None else 0.0,
+        )
+
+    def leaving_hints(self):
+        """Return what the answers of leaving targets said to this entry."""
+        return tuple(
+            hint
+            for current in self._dispatchers_by_service.values()
+            for hint in current.pool.notices.hints(now_s=self._clock())
+        )[: placement_conf.HINTS_LIMIT]
+
+    def take_in_hints(self, hints):
+        """Take over what a peer has heard of leaving targets."""
+        if hints:
+            self._apply_to_all(events.LeavingHinted(hints=tuple(hints)))
+
     def set_paces(self, paces_by_address):
         """Take over the paces of slow targets."""
         if paces_by_address == self._paces_by_address:
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/metrics.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/metrics.py
@@ -61,6 +61,12 @@
             registry=registry,
         )
 
+        self._notices = prometheus_client.Counter(
+            'savoryyoke_gateway_target_notices',
+            'Targets whose answers said that they leave or want a pause.',
+            ['kind'],
+            registry=registry,
+        )
         self._quarantined = prometheus_client.Counter(
             'savoryyoke_gateway_quarantined_requests',
             'Requests that have been quarantined for crashing targets.',
@@ -73,6 +79,10 @@
             registry=registry,
         )
 
+    def count_notice(self, kind):
+        """Count one target that leaves or asks for a pause."""
+        self._notices.labels(kind).inc()
+
     def count_quarantined(self):
         """Count one request that is quarantined anew."""
         self._quarantined.inc()
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/peering.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/peering.py
@@ -19,6 +19,15 @@
 from savoryyoke_wire import fleet
 from savoryyoke_wire import group as wire_group
 
+# Parts of a heartbeat that others learn in other ways too come first.
+_LEFT_OUT_FIRST = (
+    'crashes',
+    'leaving_targets',
+    'contact_hosts',
+    'slow_targets',
+    'in_flight',
+)
+
 
 class Peering:
     """Own the sockets to the other entries and the table of peers.
@@ -108,6 +117,8 @@
         if heartbeat is None:
             return
         packed = self._encode(heartbeat)
+        if packed is None:
+            return
         # One task at a time may use the socket.
         async with self._sending:
             for host in self.table.contact_hosts(now_s=self._clock()):
@@ -115,18 +126,27 @@
 
     @staticmethod
     def _encode(heartbeat):
-        """Return the datagram, without reports of crashes if need be."""
-        try:
-            return fleet.encode_heartbeat(heartbeat)
-        except wire_exceptions.LimitExceeded as error:
-            if not heartbeat.crashes:
-                raise
-            logs.write_event(
-                'crash_reports_not_sent', level='warning', reason=str(error)
-            )
-            return fleet.encode_heartbeat(
-                dataclasses.replace(heartbeat, crashes=())
-            )
+        """Return the datagram, or None if it does not fit.
+
+        What does not fit is left out, least urgent first: a heartbeat that
+        says only that this entry is alive is better than none.
+        """
+        left_out = []
+        while True:
+            try:
+                return fleet.encode_heartbeat(heartbeat)
+            except wire_exceptions.LimitExceeded as error:
+                full = [x for x in _LEFT_OUT_FIRST if getattr(heartbeat, x)]
+                left_out.extend(full[:1])
+                logs.write_event(
+                    'heartbeat_too_large',
+                    level='warning',
+                    left_out=','.join(left_out),
+                    reason=str(error),
+                )
+                if not full:
+                    return None
+                heartbeat = dataclasses.replace(heartbeat, **{full[0]: ()})
 
     async def _send_to(self, packed, host):
         try:
@@ -157,6 +177,7 @@
             ),
             contact_hosts=self.table.hosts_alive(now_s=self._clock()),
             slow_targets=self._slow_targets.to_pass_on(now_s=self._clock()),
+            leaving_targets=self._dispatching.leaving_hints(),
             evidence_digest=self._suspects.digest(),
             crashes=self._suspects.reports_due(
                 self.table.alive(now_s=self._clock())
@@ -189,6 +210,7 @@
         self._slow_targets.note_passed(
             heartbeat.slow_targets, now_s=self._clock()
         )
+        self._dispatching.take_in_hints(heartbeat.leaving_targets)
         self._suspects.take_in(heartbeat.crashes, source=heartbeat.sender_id)
         if heartbeat.sender_id not in self._names_alive:
             self._names_alive.add(heartbeat.sender_id)
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/requests.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/requests.py
@@ -46,6 +46,10 @@
     target states that it did not run the request, ``is_misdirected`` where
     it is not the target that was meant. ``fault`` names what makes the
     answer unusable; None if it is sound.
+
+    ``is_leaving`` is true where the target that was meant says that it
+    leaves. ``pause_s`` is how long it wants nothing, None if it does not
+    say; ``unusable_pause`` is what it said where that makes no sense.
     """
 
     status: int
@@ -53,6 +57,9 @@
     is_refusal: bool
     is_misdirected: bool
     fault: str | None
+    is_leaving: bool = False
+    pause_s: float | None = None
+    unusable_pause: str | None = None
 
     @property
     def is_success(self):
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/tries.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/tries.py
@@ -74,12 +74,9 @@
             head = await self._send(
                 call, target, exchange, attempt, resume_after
             )
+            self._dispatching.note_head(call.service_name, target, head)
             if head.is_refusal or head.is_misdirected:
-                attempt.result = (
-                    _Result.MISDIRECTED
-                    if head.is_misdirected
-                    else _Result.REFUSED
-                )
+                attempt.result = _choose_refusal(head)
                 return call.ledger.apply(
                     events.TargetRefused(target_id=target_id)
                 )
@@ -247,6 +244,15 @@
         self._reporter.note_try(call, target, attempt)
 
 
+def _choose_refusal(head):
+    """Return the result of a try that the target did not run."""
+    if head.is_misdirected:
+        return _Result.MISDIRECTED
+    if head.pause_s is not None:
+        return _Result.PAUSED
+    return _Result.REFUSED
+
+
 def _split(splitter, part):
     """Return the events that ``part`` completes; raise ``ExchangeBroken``."""
     try:
--- a/packages/savoryyoke-gateway/tests/test_dispatching.py
+++ b/packages/savoryyoke-gateway/tests/test_dispatching.py
@@ -4,6 +4,7 @@
 import unittest
 
 import anyio
+import prometheus_client
 
 from savoryyoke.catalogue import models as catalogue_models
 from savoryyoke.placement import decisions
@@ -11,6 +12,7 @@
 from savoryyoke.placement import models
 
 from savoryyoke_gateway import dispatching
+from savoryyoke_gateway import metrics
 
 # The users' engines bear 36 requests a second while cold; the platform
 # allows 1.5 times that and 5 more.
@@ -54,6 +56,9 @@
             own_data_centre='dc-a',
             draw=self._random.random,
             clock=lambda: self._now_s,
+            metrics=metrics.GatewayMetrics(
+                registry=prometheus_client.CollectorRegistry()
+            ),
         )
         started.publish(
             services_by_name={'s': SERVICE},
--- a/packages/savoryyoke-wire/savoryyoke_wire/fleet.capnp
+++ b/packages/savoryyoke-wire/savoryyoke_wire/fleet.capnp
@@ -19,6 +19,12 @@
   remainingS @4 :Float64;
 }
 
+struct LeavingTarget {
+  targetId @0 :Text;
+  incarnation @1 :Int64;
+  ageS @2 :Float64;
+}
+
 struct Heartbeat {
   version @0 :UInt16;
   senderId @1 :Text;
@@ -35,6 +41,7 @@
   slowTargets @12 :List(SlowTarget);
   evidenceDigest @13 :UInt64;
   crashes @14 :List(Crash);
+  leavingTargets @15 :List(LeavingTarget);
 }
 
 struct Item {
--- a/packages/savoryyoke-wire/savoryyoke_wire/fleet.py
+++ b/packages/savoryyoke-wire/savoryyoke_wire/fleet.py
@@ -5,6 +5,7 @@
 import capnp
 
 from savoryyoke.peers import messages
+from savoryyoke.placement import notices
 from savoryyoke.published import models
 from savoryyoke.quarantine import evidence
 from savoryyoke_wire import conf
@@ -42,6 +43,11 @@
     for item, target in zip(slow, heartbeat.slow_targets, strict=True):
         item.address = target.address
         item.pace = target.pace
+    leaving = message.init('leavingTargets', len(heartbeat.leaving_targets))
+    for item, target in zip(leaving, heartbeat.leaving_targets, strict=True):
+        item.targetId = target.target_id
+        item.incarnation = target.incarnation
+        item.ageS = target.age_s
     crashes = message.init('crashes', len(heartbeat.crashes))
     for item, report in zip(crashes, heartbeat.crashes, strict=True):
         item.crashId = report.crash_id
@@ -83,6 +89,14 @@
                 messages.SlowTarget(address=x.address, pace=x.pace)
                 for x in message.slowTargets
             ),
+            leaving_targets=tuple(
+                notices.LeavingTarget(
+                    target_id=x.targetId,
+                    incarnation=x.incarnation,
+                    age_s=x.ageS,
+                )
+                for x in message.leavingTargets
+            ),
             evidence_digest=message.evidenceDigest,
             crashes=tuple(_read_crash(x) for x in message.crashes),
         )
--- a/packages/savoryyoke-wire/tests/test_fleet.py
+++ b/packages/savoryyoke-wire/tests/test_fleet.py
@@ -3,6 +3,7 @@
 import unittest
 
 from savoryyoke.peers import messages
+from savoryyoke.placement import notices
 from savoryyoke.published import models
 from savoryyoke.quarantine import evidence
 
@@ -22,6 +23,9 @@
     published_as_of=29,
     in_flight=(messages.InFlight(target_id='t1', requests=3),),
     contact_hosts=('10.0.0.2', '10.0.0.3'),
+    leaving_targets=(
+        notices.LeavingTarget(target_id='t3', incarnation=2**41, age_s=1.5),
+    ),
     evidence_digest=2**64 - 1,
     crashes=(
         evidence.CrashReport(
--- a/packages/savoryyoke/savoryyoke/peers/messages.py
+++ b/packages/savoryyoke/savoryyoke/peers/messages.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from savoryyoke.placement import notices
 from savoryyoke.quarantine import evidence
 
 
@@ -30,6 +31,7 @@
     ``published_as_of`` is the revision of the entry's view of published
     values, ``contact_hosts`` are hosts of entries that it hears, and
     ``slow_targets`` are those that it has heard of from their own VMs.
+    ``leaving_targets`` are those whose answers to it said that they leave.
     ``evidence_digest`` sums up what it knows of crashes; ``crashes`` are the
     reports that some entry seems to lack.
     """
@@ -46,5 +48,6 @@
     in_flight: tuple[InFlight, ...]
     contact_hosts: tuple[str, ...]
     slow_targets: tuple[SlowTarget, ...] = ()
+    leaving_targets: tuple[notices.LeavingTarget, ...] = ()
     evidence_digest: int = 0
     crashes: tuple[evidence.CrashReport, ...] = ()
--- a/packages/savoryyoke/savoryyoke/peers/pacing.py
+++ b/packages/savoryyoke/savoryyoke/peers/pacing.py
@@ -21,8 +21,8 @@
     def select(self, heartbeat, *, now_s):
         """Return the heartbeat to send, or None.
 
-        Its sequence number is not compared. Contacts are left out while
-        they are known.
+        Its sequence number and the ages in it are not compared. Contacts
+        are left out while they are known.
         """
         if self._is_known(heartbeat, now_s):
             return None
@@ -39,8 +39,7 @@
             return False
         if now_s - self._sent_s >= conf.UNCHANGED_HEARTBEAT_S:
             return False
-        sequence = heartbeat.sequence
-        return heartbeat == dataclasses.replace(self._sent, sequence=sequence)
+        return _strip(heartbeat) == _strip(self._sent)
 
     def _are_contacts_known(self, heartbeat, now_s):
         return (
@@ -49,6 +48,14 @@
         )
 
 
+def _strip(heartbeat):
+    """Return a heartbeat without what changes with each one."""
+    leaving = tuple(
+        dataclasses.replace(x, age_s=0.0) for x in heartbeat.leaving_targets
+    )
+    return dataclasses.replace(heartbeat, sequence=0, leaving_targets=leaving)
+
+
 def find_interval_s(*, peers):
     """Return the seconds between two heartbeats.
 
--- a/packages/savoryyoke/savoryyoke/placement/conf.py
+++ b/packages/savoryyoke/savoryyoke/placement/conf.py
@@ -15,6 +15,27 @@
 # list of targets, which lags by about two seconds, names it anew.
 MISDIRECTED_S = 2.0
 
+# A target may ask for a pause of any length. Five minutes are longer than
+# its machine needs to be replaced; a longer one is taken for a fault.
+PAUSE_LONGEST_S = 300.0
+
+# After a pause, each entry sends one request more at a time for each two
+# passes of the engines, and as many as there is room for after 64 steps.
+PAUSE_RAMP_S = 0.1
+PAUSE_RAMP_STEPS = 64
+
+# Callers that were refused until the end of a pause return spread over this.
+PAUSE_RETURN_SPREAD_S = 0.3
+
+# A target is gone or published as leaving some seconds after it has said so;
+# until then entries that did not hear it go by the hints of others.
+HINT_MEMORY_S = 10.0
+HINTS_LIMIT = 32
+
+# Leaving incarnations that are remembered for a service: 1,300 targets that
+# are replaced three times, at 32 bytes and a key each.
+NOTICES_LIMIT = 4096
+
 # Evidence of failures halves in this time, so that a recovered target is
 # tried again within a few seconds.
 FAILURE_HALF_LIFE_S = 2.0
--- a/packages/savoryyoke/savoryyoke/placement/dispatcher.py
+++ b/packages/savoryyoke/savoryyoke/placement/dispatcher.py
@@ -32,7 +32,9 @@
 
     While no target is in service, such as a group of engines that forms
     anew, requests that come for the first time are refused, to return when
-    the group may be back; those that have returned wait for it.
+    the group may be back; those that have returned wait for it. While all
+    targets have asked for a pause, a request that can't wait for the end of
+    the first one is refused, to return then.
     """
 
     def __init__(self, *, pool, draw):
@@ -81,6 +83,23 @@
         self._note_hold(event.held_s)
         return self._pump(now_s)
 
+    @_apply.register
+    def _(self, event: events.TargetLeaving, now_s):
+        self._pool.notices.note_leaving(event.target, now_s=now_s)
+        return ()
+
+    @_apply.register
+    def _(self, event: events.TargetPaused, now_s):
+        self._pool.notices.note_pause(
+            event.target, pause_s=event.pause_s, now_s=now_s
+        )
+        return self._pump(now_s)
+
+    @_apply.register
+    def _(self, event: events.LeavingHinted, now_s):
+        self._pool.notices.note_hints(event.hints, now_s=now_s)
+        return ()
+
     @_apply.register
     def _(self, event: events.Ticked, now_s):
         return self._pump(now_s)
@@ -144,6 +163,9 @@
                 regions=arrival.regions,
                 withheld_releases=arrival.withheld_releases,
             )
+            if target is None and self._outlasts_wait(arrival, now_s):
+                made.append(self._refuse_paused(arrival, now_s))
+                continue
             if target is None:
                 left.append(waiting)
                 continue
@@ -158,6 +180,26 @@
             request_id=request_id, target=target, in_flight=in_flight
         )
 
+    def _outlasts_wait(self, arrival, now_s):
+        """Return whether all targets pause for longer than a request waits."""
+        end_s = self._pause_end_s(arrival, now_s)
+        return end_s is not None and end_s >= arrival.wait_until_s
+
+    def _pause_end_s(self, arrival, now_s):
+        return self._pool.all_paused_until_s(
+            now_s=now_s,
+            regions=arrival.regions,
+            withheld_releases=arrival.withheld_releases,
+        )
+
+    def _refuse_paused(self, arrival, now_s):
+        left_s = self._pause_end_s(arrival, now_s) - now_s
+        return decisions.Refuse(
+            request_id=arrival.request_id,
+            reason=_Reason.ALL_PAUSED,
+            retry_after_s=left_s + self._draw() * conf.PAUSE_RETURN_SPREAD_S,
+        )
+
     def _is_hopeless(self, waiting, now_s):
         """Return whether the queue moves too slowly for this request.
 
--- a/packages/savoryyoke/savoryyoke/placement/events.py
+++ b/packages/savoryyoke/savoryyoke/placement/events.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from savoryyoke.placement import models
+from savoryyoke.placement import notices
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -83,6 +84,28 @@
     held_s: float | None = None
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class TargetLeaving:
+    """Report that an answer of a target says that the target leaves."""
+
+    target: models.Target
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class TargetPaused:
+    """Report that a target wants nothing for ``pause_s``."""
+
+    target: models.Target
+    pause_s: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class LeavingHinted:
+    """Report what another entry has heard of leaving targets."""
+
+    hints: tuple[notices.LeavingTarget, ...]
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Ticked:
     """Report that time has passed."""
--- a/packages/savoryyoke/savoryyoke/placement/health.py
+++ b/packages/savoryyoke/savoryyoke/placement/health.py
@@ -36,7 +36,8 @@
 
     def note(self, result, *, latency_s, now_s):
         """Take in the end of a try."""
-        if result is _Result.WITHDRAWN:
+        # A target that asks for a pause is busy, not faulty.
+        if result in (_Result.WITHDRAWN, _Result.PAUSED):
             return
         rate = self.failure_rate(now_s=now_s)
         failed = 1.0 if result in _FAILURES else 0.0
--- a/packages/savoryyoke/savoryyoke/placement/models.py
+++ b/packages/savoryyoke/savoryyoke/placement/models.py
@@ -30,7 +30,10 @@
 
 
 class TryResult(enum.Enum):
-    """Say how a try at a target ended."""
+    """Say how a try at a target ended.
+
+    ``PAUSED`` is a refusal by a target that asks for a pause.
+    """
 
     ANSWERED = 'answered'
     FAILED = 'failed'
@@ -38,6 +41,7 @@
     TIMED_OUT = 'timed-out'
     UNREACHABLE = 'unreachable'
     REFUSED = 'refused'
+    PAUSED = 'paused'
     MISDIRECTED = 'misdirected'
     WITHDRAWN = 'withdrawn'
 
@@ -49,3 +53,4 @@
     QUEUE_TOO_LONG = 'queue-too-long'
     WAITED_TOO_LONG = 'waited-too-long'
     NO_OTHER_TARGET = 'no-other-target'
+    ALL_PAUSED = 'all-paused'
--- a/packages/savoryyoke/savoryyoke/placement/pool.py
+++ b/packages/savoryyoke/savoryyoke/placement/pool.py
@@ -4,6 +4,7 @@
 
 from savoryyoke.placement import conf
 from savoryyoke.placement import health
+from savoryyoke.placement import notices
 
 
 class _ColdRate:
@@ -62,6 +63,7 @@
         self._states_by_id = {}
         self._paces_by_address = {}
         self._requests_by_target_by_peer = {}
+        self.notices = notices.TargetNotices()
 
     def set_cold_rate(self, rate_per_s):
         """Bound what this entry sends a target in a second; None: no bound."""
@@ -150,11 +152,26 @@
     def lists(self, *, regions=frozenset()):
         """Return whether any target may come into service."""
         return any(
-            not state.target.is_draining
+            not self._is_leaving(state.target)
             and (not regions or state.target.region in regions)
             for state in self._all_states()
         )
 
+    def all_paused_until_s(
+        self, *, now_s, regions=frozenset(), withheld_releases=frozenset()
+    ):
+        """Return when the first pause ends; None if any target has none."""
+        if not self.notices.has_pauses:
+            return None
+        ends_s = [
+            self.notices.pause_end_s(state.target, now_s=now_s)
+            for state in self._all_states()
+            if self._is_usable(state, regions, withheld_releases)
+        ]
+        if not ends_s or None in ends_s:
+            return None
+        return min(ends_s)
+
     def choose(
         self,
         *,
@@ -178,12 +195,14 @@
     def _all_states(self):
         return self._states_by_id.values()
 
-    @staticmethod
-    def _is_usable(state, regions, withheld_releases):
+    def _is_leaving(self, target):
+        return target.is_draining or self.notices.is_leaving(target)
+
+    def _is_usable(self, state, regions, withheld_releases):
         target = state.target
         return (
             target.is_in_service
-            and not target.is_draining
+            and not self._is_leaving(target)
             and (not regions or target.region in regions)
             and target.release not in withheld_releases
         )
@@ -193,6 +212,9 @@
             return False
         if not self._has_cold_room(state, now_s):
             return False
+        most = self.notices.most_in_flight(state.target, now_s=now_s)
+        if most is not None and state.own_in_flight >= most:
+            return False
         if self._is_engine and self._holds_group_up(state):
             return False
         target = state.target
@@ -224,18 +246,21 @@
     def _score(self, state, now_s):
         """Return a lower value for a better target.
 
-        Engines of a group advance together, so only the even spread of
-        requests counts. Other targets rank by their expected answer time.
+        One that is said to leave comes last. Engines of a group advance
+        together, so only the even spread of requests counts. Other targets
+        rank by their expected answer time.
         """
         target = state.target
         in_flight = self.in_flight(target.target_id)
         failures = state.health.failure_rate(now_s=now_s)
         penalty = conf.FAILURE_PENALTY * failures
         away = target.data_centre != self._own_data_centre
+        hinted = self.notices.is_hinted(target, now_s=now_s)
         if self._is_engine:
-            return (in_flight / self._limit(target) + penalty, away)
+            return (hinted, in_flight / self._limit(target) + penalty, away)
         latency_s = state.health.latency_s or self._usual_latency_s()
-        return (latency_s * (in_flight + 1) * (1 + 2 * penalty), away)
+        expected_s = latency_s * (in_flight + 1) * (1 + 2 * penalty)
+        return (hinted, expected_s, away)
 
     def _usual_latency_s(self):
         known = [
