Let a second try run beside a slow one instead of cutting the first

Cause: the first try of a request that may be repeated was cut after five usual latencies of its target, and only then was it asked whether another try may follow. Where the retry limit or the places said no, a request that was being served was lost (502). A repeat without a place spent the limit as well, and the request's log line hid the first cause. Silent streams were broken off the same way, and a plain answer that drips or never ends held its request until the deadline and did not count against its target.

Ruled out: cutting later (it still ends what may be served), and waiting until the deadline (a silent target would cost all of it).

A request that takes longer than 95 in 100 of those like it gets a second try, if it has a place and both the share of 5 in 100 and half of the retry limit allow it; the first whole answer wins. One that is overtaken elsewhere is taken for lost and may draw on the retry limit. Silent streams move once they hold a place. The log line of a request has its first cause and the level of the retry limit.

--- a/packages/savoryyoke-fakes/savoryyoke_fakes/deployment/replica.py
+++ b/packages/savoryyoke-fakes/savoryyoke_fakes/deployment/replica.py
@@ -72,7 +72,8 @@
     their runs in ``common_runs`` in order. ``work_s`` is what an answer and
     each event of a stream take. ``fatal_requests`` are ``FatalRequest``.
     While ``is_leaving``, all answers say so; while there is a ``pause``, all
-    requests are refused with it as the time to return.
+    requests are refused with it as the time to return. ``work_s_by_body``
+    holds the work of single bodies.
     """
 
     def __init__(
@@ -91,6 +92,7 @@
         self.arrivals = []
         self.is_leaving = False
         self.pause = None
+        self.work_s_by_body = {}
         self._common_oddities = common_oddities
         self._common_runs = common_runs
         self._work_s = work_s
@@ -143,7 +145,7 @@
         if 'text/event-stream' in request.headers.get('accept', ''):
             await self._stream(request, connection, oddity, run)
             return
-        await anyio.sleep(self._work_s)
+        await anyio.sleep(self.work_s_by_body.get(request.body, self._work_s))
         body = b'answer of ' + self.replica_id.encode()
         headers = self._build_headers(request, oddity)
         await _ANSWERS_BY_ODDITY.get(oddity, _answer_whole)(
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/calls.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/calls.py
@@ -15,6 +15,7 @@
 class Call:
     """Hold one request on its way through this entry.
 
+    ``first_cause`` is how the first try that brought no answer ended.
     ``content`` is a digest that further attempts of the caller share;
     targets that run one of ``withheld_releases`` must not get it.
     """
@@ -37,6 +38,7 @@
     status: int = 0
     outcome: str = 'caller-left'
     reason: str = ''
+    first_cause: str = ''
     retry_after_s: float | None = None
     withheld_releases: frozenset[str] = frozenset()
 
@@ -51,9 +53,23 @@
         return self.route.regions
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Move:
+    """Hold the placement to which a stream moves."""
+
+    placed: placement_decisions.Place
+    decision: decisions.TryAnother
+
+
 @dataclasses.dataclass(kw_only=True)
 class Attempt:
-    """Hold the course of one try; ``stays`` rules a move out."""
+    """Hold the course of one try.
+
+    ``stays`` rules a move to a faster target out. ``advanced_s`` is when a
+    stream was sent or last brought events; ``is_waiting`` is true while
+    nothing has been received that is still to be passed on. ``move`` is
+    where a silent stream goes on.
+    """
 
     started_s: float
     sent_s: float | None = None
@@ -61,6 +77,9 @@
     result: placement_models.TryResult = placement_models.TryResult.WITHDRAWN
     reason: str = ''
     stays: bool = False
+    advanced_s: float | None = None
+    is_waiting: bool = False
+    move: Move | None = None
 
     @property
     def first_byte_s(self):
@@ -68,11 +87,3 @@
         if self.head_s is None:
             return None
         return self.head_s - self.started_s
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Move:
-    """Hold the placement to which a stream moves."""
-
-    placed: placement_decisions.Place
-    decision: decisions.TryAnother
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/conf.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/conf.py
@@ -8,10 +8,13 @@
 # and callers leave a stream that was silent for 2 s.
 STREAM_SILENCE_S = 1.8
 
-# A repeatable request is offered to another target when its answer takes
-# this many times the usual latency, but no sooner than the least patience.
-PATIENCE_LATENCIES = 5
-PATIENCE_LEAST_S = 0.15
+# A stream that has been silent for too long moves to another target as soon
+# as there is one; its place is looked for each time that a pass may free one.
+SILENCE_CHECK_S = 0.1
+
+# A plain answer that is not whole this long after its head is a fault of the
+# target; the users' answers fit into one packet.
+BODY_STALL_S = 0.5
 
 # Targets end their work at the deadline they were told; their own answer is
 # better than one of ours, so it gets the time of a round trip.
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/crashes.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/crashes.py
@@ -62,6 +62,10 @@
         """Report a try that this entry or its caller has given up."""
         self._note_lost(call, target, is_broken=False)
 
+    def note_silent(self, call, target):
+        """Report a try that was moved, as its target said nothing."""
+        self._note_lost(call, target, is_broken=True)
+
     async def examine(self, call, target, *, reason):
         """Find out whether a target crashed under a try that broke."""
         self._note_lost(call, target, is_broken=reason in _CRASH_REASONS)
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/dispatching.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/dispatching.py
@@ -200,11 +200,6 @@
         current = self._dispatchers_by_service[service_name]
         return current.pool.holds_group_up(target_id)
 
-    def usual_latency_s(self, service_name, target_id):
-        """Return the usual latency of a target, or None if unknown."""
-        current = self._dispatchers_by_service[service_name]
-        return current.pool.latency_s(target_id)
-
     def _find_or_create(self, name, service):
         is_engine = service is not None and service.slots is not None
         current = self._dispatchers_by_service.get(name)
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/forwarder.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/forwarder.py
@@ -16,6 +16,7 @@
 
 from savoryyoke_gateway import calls
 from savoryyoke_gateway import conf
+from savoryyoke_gateway import hedging
 from savoryyoke_gateway import reporting
 from savoryyoke_gateway import tries
 
@@ -59,13 +60,17 @@
             metrics=metrics,
             clock=clock,
         )
-        self._tries = tries.TryRunner(
-            dispatching=dispatching,
-            translator=translator,
-            reporter=self._reporter,
-            place_again=self._place_again,
-            crashes=crashes,
-            suspects=suspects,
+        self._tries = hedging.HedgedTries(
+            tries=tries.TryRunner(
+                dispatching=dispatching,
+                translator=translator,
+                reporter=self._reporter,
+                place_again=self._place_again,
+                crashes=crashes,
+                suspects=suspects,
+                clock=clock,
+            ),
+            find_hedge=self._find_hedge,
             clock=clock,
         )
         self._patience = lateness.CallerPatience()
@@ -97,7 +102,9 @@
         try:
             await self._serve_in_time(call)
         finally:
-            self._reporter.note_end(call)
+            self._reporter.note_end(
+                call, retry_level=self._allowances.level(call.service_name)
+            )
 
     async def refuse(self, request, channel, *, reason):
         """Refuse a request that this entry does not take."""
@@ -186,7 +193,10 @@
                 return call.ledger.apply(
                     events.NoOtherTarget(reason=call.reason)
                 )
-            resume_after = decision.resume_after or call.request.resume_after
+            # A silent stream may have gone on while it was moved.
+            resume_after = (
+                call.ledger.last_event_id or call.request.resume_after
+            )
 
     def _is_quarantined(self, call, *, release=None):
         """Return whether the request must not go to a release of its service.
@@ -250,10 +260,36 @@
             return None
         if self._is_quarantined(call):
             return None
+        placed = self._find_other(call, decision, time_left_s)
+        if isinstance(placed, placement_decisions.Refuse):
+            call.reason = placed.reason.value
+            return None
+        # The limit is drawn on only for a repetition that has a place.
         if decision.is_repeat and not self._allowances.take(call.service_name):
+            self._dispatching.give_back(call.service_name, placed)
             call.reason = 'retry-limit'
             return None
-        placed = self._dispatching.repeat(
+        return placed
+
+    def _find_hedge(self, call, decision, *, is_lost):
+        """Return the placement of a second try beside the first, or None."""
+        time_left_s = call.ends_s - self._clock()
+        if time_left_s < forwarding_conf.SHORTEST_TRY_S:
+            return None
+        if self._suspects.find_withheld(call) is not None:
+            return None
+        placed = self._find_other(call, decision, time_left_s)
+        if isinstance(placed, placement_decisions.Refuse):
+            return None
+        if not self._allowances.take_hedge(call.service_name, is_lost=is_lost):
+            self._dispatching.give_back(call.service_name, placed)
+            return None
+        self._metrics.count_hedge(service=call.service_name)
+        return placed
+
+    def _find_other(self, call, decision, time_left_s):
+        """Return placement's decision on a further try."""
+        return self._dispatching.repeat(
             call.service_name,
             placement_events.RepeatAsked(
                 request_id=call.placement_id,
@@ -263,10 +299,6 @@
                 withheld_releases=call.withheld_releases,
             ),
         )
-        if isinstance(placed, placement_decisions.Refuse):
-            call.reason = placed.reason.value
-            return None
-        return placed
 
     async def _conclude(self, call, decision):
         """Give the caller the final answer."""
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/metrics.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/metrics.py
@@ -61,6 +61,12 @@
             registry=registry,
         )
 
+        self._hedges = prometheus_client.Counter(
+            'savoryyoke_gateway_second_tries',
+            'Tries that were begun beside a slow one.',
+            ['service'],
+            registry=registry,
+        )
         self._notices = prometheus_client.Counter(
             'savoryyoke_gateway_target_notices',
             'Targets whose answers said that they leave or want a pause.',
@@ -83,6 +89,10 @@
         """Count one target that leaves or asks for a pause."""
         self._notices.labels(kind).inc()
 
+    def count_hedge(self, *, service):
+        """Count one second try beside a slow one."""
+        self._hedges.labels(service).inc()
+
     def count_quarantined(self):
         """Count one request that is quarantined anew."""
         self._quarantined.inc()
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/reporting.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/reporting.py
@@ -67,8 +67,11 @@
             first_byte_s=attempt.first_byte_s,
         )
 
-    def note_end(self, call):
-        """Report the end of a request."""
+    def note_end(self, call, *, retry_level):
+        """Report the end of a request.
+
+        ``retry_level`` is how full this entry's share of the retry limit is.
+        """
         duration_s = self._clock() - call.arrived_s
         logs.write_event(
             'request_ended',
@@ -79,6 +82,8 @@
             content=call.content.hex(),
             outcome=call.outcome,
             reason=call.reason,
+            first_cause=call.first_cause,
+            retry_level=retry_level,
             status=call.status,
             targets=','.join(call.target_ids),
             events=call.events_sent,
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/requests.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/requests.py
@@ -2,6 +2,9 @@
 
 import dataclasses
 
+# These statuses promise a caller that the request has not run.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class CallerRequest:
@@ -74,3 +77,8 @@
     status: int
     headers: tuple[tuple[bytes, bytes], ...]
     body: bytes
+
+    @property
+    def is_failure(self):
+        """Return whether another target may answer better."""
+        return self.status >= 500 or self.status in NOT_RUN_STATUSES
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/tries.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/tries.py
@@ -1,5 +1,7 @@
 """Carry out one try of a request at one target."""
 
+import anyio
+
 from savoryyoke.forwarding import decisions
 from savoryyoke.forwarding import events
 from savoryyoke.forwarding import exceptions as forwarding_exceptions
@@ -14,8 +16,6 @@
 from savoryyoke_gateway import requests
 
 _Result = placement_models.TryResult
-# These statuses promise a caller that the request has not run.
-_NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
 class TryRunner:
@@ -54,6 +54,10 @@
         exchange = exchanges.Exchange(target=target)
         attempt = calls.Attempt(started_s=self._clock())
         try:
+            if call.is_stream and call.route.may_repeat:
+                return await self._exchange_watched(
+                    call, target, exchange, attempt, resume_after
+                )
             return await self._exchange(
                 call, target, exchange, attempt, resume_after
             )
@@ -61,6 +65,46 @@
             await exchange.aclose()
             self._end_try(call, target, attempt)
 
+    async def _exchange_watched(
+        self, call, target, exchange, attempt, resume_after
+    ):
+        """Carry out a try that ends where a silent stream moves on."""
+        decision = None
+        async with anyio.create_task_group() as group:
+            group.start_soon(
+                self._watch_silence, call, target, attempt, group.cancel_scope
+            )
+            decision = await self._exchange(
+                call, target, exchange, attempt, resume_after
+            )
+            group.cancel_scope.cancel()
+        if decision is not None and attempt.move is not None:
+            # It went on in the same moment.
+            self._dispatching.give_back(call.service_name, attempt.move.placed)
+        return decision or attempt.move
+
+    async def _watch_silence(self, call, target, attempt, scope):
+        """Move a stream that says nothing as soon as there is a place.
+
+        It goes on where it is as long as there is none.
+        """
+        move = None
+        while move is None:
+            advanced_s = attempt.advanced_s or attempt.started_s
+            left_s = advanced_s + conf.STREAM_SILENCE_S - self._clock()
+            await anyio.sleep(max(left_s, conf.SILENCE_CHECK_S))
+            if not attempt.is_waiting or attempt.advanced_s > advanced_s:
+                continue
+            move = self._find_move(call)
+        attempt.result = _Result.TIMED_OUT
+        attempt.reason = 'silent'
+        attempt.move = move
+        call.ledger.apply(
+            events.TryBroken(target_id=target.target_id, reason='silent')
+        )
+        scope.cancel()
+        self._crashes.note_silent(call, target)
+
     async def _exchange(self, call, target, exchange, attempt, resume_after):
         target_id = target.target_id
         try:
@@ -113,38 +157,26 @@
             ),
         )
         call.ledger.apply(events.Sent(target_id=target.target_id))
-        attempt.sent_s = self._clock()
+        attempt.sent_s = attempt.advanced_s = self._clock()
+        attempt.is_waiting = True
         status, answer_headers = await exchange.send(
             method=call.request.method,
             target=call.request.target,
             headers=headers,
             body=call.body,
-            silence_s=self._choose_silence_s(call, target, time_left_s),
+            silence_s=time_left_s + conf.DEADLINE_GRACE_S,
         )
         attempt.head_s = self._clock()
         return self._translator.read_head(
             status, answer_headers, request=call.request
         )
 
-    def _choose_silence_s(self, call, target, time_left_s):
-        """Return how long a target may say nothing."""
-        longest_s = time_left_s + conf.DEADLINE_GRACE_S
-        if call.is_stream:
-            return min(conf.STREAM_SILENCE_S, longest_s)
-        if not call.ledger.may_try_another:
-            return longest_s
-        usual_s = self._dispatching.usual_latency_s(
-            call.service_name, target.target_id
-        )
-        patience_s = conf.PATIENCE_LATENCIES * (usual_s or 0.0)
-        return min(max(patience_s, conf.PATIENCE_LEAST_S), longest_s)
-
     @staticmethod
     def _require_usable(call, head):
         """Raise ``ExchangeBroken`` for an answer that must not be used."""
         if head.fault is not None:
             raise exceptions.ExchangeBroken(head.fault)
-        promises_too_much = head.status in _NOT_RUN_STATUSES
+        promises_too_much = head.status in requests.NOT_RUN_STATUSES
         if promises_too_much and not call.route.may_repeat:
             raise exceptions.ExchangeBroken('unproven-refusal')
 
@@ -155,14 +187,18 @@
             body += part
             if len(body) > conf.ANSWER_LIMIT_BYTES:
                 raise exceptions.ExchangeBroken('too-large')
-        is_failure = head.status >= 500 or head.status in _NOT_RUN_STATUSES
-        attempt.result = _Result.FAILED if is_failure else _Result.ANSWERED
-        call.answer = requests.Answer(
+        answer = requests.Answer(
             status=head.status, headers=head.headers, body=bytes(body)
         )
+        attempt.result = (
+            _Result.FAILED if answer.is_failure else _Result.ANSWERED
+        )
+        # Of two tries side by side, the first good answer counts.
+        if call.answer is None or call.answer.is_failure:
+            call.answer = answer
         return call.ledger.apply(
             events.TargetAnswered(
-                target_id=target.target_id, is_failure=is_failure
+                target_id=target.target_id, is_failure=answer.is_failure
             )
         )
 
@@ -171,18 +207,18 @@
     ):
         """Pass whole events on as they come; return what follows the end."""
         splitter = framing.EventSplitter(after=resume_after)
-        advanced_s = self._clock()
         async for part in exchange.read():
             whole = _split(splitter, part)
             if not whole:
-                if self._clock() - advanced_s > conf.STREAM_SILENCE_S:
-                    raise exceptions.ExchangeBroken('silent')
-            else:
-                await self._pass_on(call, target, head, whole)
-                advanced_s = self._clock()
-                move = self._choose_move(call, target, attempt)
-                if move is not None:
-                    return move
+                continue
+            attempt.is_waiting = False
+            await self._pass_on(call, target, head, whole)
+            attempt.advanced_s = self._clock()
+            attempt.is_waiting = True
+            move = self._choose_move(call, target, attempt)
+            if move is not None:
+                return move
+        attempt.is_waiting = False
         if splitter.has_rest:
             raise exceptions.ExchangeBroken('torn')
         await self._begin_stream(call, target, head)
@@ -200,13 +236,19 @@
         ):
             return None
         attempt.stays = True
+        move = self._find_move(call)
+        if move is not None:
+            attempt.reason = 'slow-target'
+        return move
+
+    def _find_move(self, call):
+        """Return a further placement of a stream under way, or None."""
         decision = call.ledger.apply(events.TargetSlow())
         if decision is None:
             return None
         placed = self._place_again(call, decision)
         if placed is None:
             return None
-        attempt.reason = 'slow-target'
         return calls.Move(placed=placed, decision=decision)
 
     async def _pass_on(self, call, target, head, whole):
@@ -226,6 +268,8 @@
 
     def _end_try(self, call, target, attempt):
         held_s = None
+        if attempt.result is _Result.WITHDRAWN:
+            self._judge_withdrawn(call, attempt)
         if attempt.result is _Result.ANSWERED:
             held_s = self._clock() - attempt.started_s
             self._suspects.note_answered(call, target)
@@ -241,8 +285,24 @@
                 held_s=held_s,
             ),
         )
+        if attempt.result is not _Result.ANSWERED and not call.first_cause:
+            call.first_cause = attempt.reason or attempt.result.value
         self._reporter.note_try(call, target, attempt)
 
+    def _judge_withdrawn(self, call, attempt):
+        """Tell a target that did not answer in time from a caller's leave."""
+        now_s = self._clock()
+        if attempt.sent_s is not None and now_s >= call.ends_s:
+            attempt.result = _Result.TIMED_OUT
+            attempt.reason = 'deadline'
+        elif (
+            attempt.head_s is not None
+            and not call.is_stream
+            and now_s - attempt.head_s > conf.BODY_STALL_S
+        ):
+            attempt.result = _Result.TIMED_OUT
+            attempt.reason = 'stalled'
+
 
 def _choose_refusal(head):
     """Return the result of a try that the target did not run."""
--- a/packages/savoryyoke-gateway/tests/test_retrying.py
+++ b/packages/savoryyoke-gateway/tests/test_retrying.py
@@ -79,3 +79,29 @@
             allowance._entries = 1
         fleet.run(30)
         self.assertGreater(fleet.most_in_a_window(), self.limit(30))
+
+
+class SecondTriesTests(unittest.TestCase):
+    """Test that second tries leave room for repeats after failures."""
+
+    def setUp(self):
+        self.allowances = retrying.RetryAllowances(
+            ratio=RATIO, slack=SLACK, clock=lambda: 0.0
+        )
+
+    def test_half_of_the_limit_is_kept(self):
+        taken = 0
+        while self.allowances.take_hedge('s', is_lost=True):
+            taken += 1
+        self.assertGreater(taken, 1)
+        self.assertGreaterEqual(self.allowances.level('s'), 0.5)
+        repeated = 0
+        while self.allowances.take('s'):
+            repeated += 1
+        self.assertGreaterEqual(repeated, taken)
+
+    def test_slow_requests_have_a_share_of_their_own(self):
+        taken = sum(
+            self.allowances.take_hedge('s', is_lost=False) for _ in range(9)
+        )
+        self.assertEqual(1, taken)
--- a/packages/savoryyoke/savoryyoke/forwarding/ledger.py
+++ b/packages/savoryyoke/savoryyoke/forwarding/ledger.py
@@ -13,7 +13,8 @@
 
     A request that may not be repeated goes to another target only while it
     provably has not run. ``attempts_limit`` bounds the targets that receive
-    it.
+    it. Several tries may be open at once; a request that one of them refused
+    may still run at another.
     """
 
     def __init__(self, *, may_repeat, attempts_limit):
@@ -22,7 +23,7 @@
         self._tried_target_ids = set()
         self._sent = 0
         self._unreachable = 0
-        self._in_progress = False
+        self._open_tries = 0
         self._may_have_run = False
         self._failure_held = False
         self._streaming = False
@@ -33,11 +34,25 @@
         """Return whether a target may have run the request."""
         return self._may_have_run
 
+    @property
+    def last_event_id(self):
+        """Return the id of the last event that the caller has, or None."""
+        return self._last_event_id
+
     @property
     def may_try_another(self):
         """Return whether the request may go to a further target."""
         return self._may_repeat and self._sent < self._attempts_limit
 
+    @property
+    def may_hedge(self):
+        """Return whether a second try may run beside the first.
+
+        The first must have been sent: a try that still connects may yet use
+        up the last attempt.
+        """
+        return self._sent > 0 and self.may_try_another
+
     @functools.singledispatchmethod
     def apply(self, event):
         """Take in an event and return the decision, or None."""
@@ -47,7 +62,7 @@
     def _(self, event: events.Sent):
         self._tried_target_ids.add(event.target_id)
         self._sent += 1
-        self._in_progress = True
+        self._open_tries += 1
 
     @apply.register
     def _(self, event: events.Unreachable):
@@ -59,11 +74,12 @@
 
     @apply.register
     def _(self, event: events.TargetRefused):
-        self._in_progress = False
+        self._open_tries -= 1
         return self._try_another('refused')
 
     @apply.register
     def _(self, event: events.TargetAnswered):
+        self._open_tries -= 1
         self._may_have_run = True
         if not event.is_failure:
             return decisions.Deliver()
@@ -91,6 +107,7 @@
 
     @apply.register
     def _(self, event: events.TryBroken):
+        self._open_tries -= 1
         self._may_have_run = True
         if not self._may_repeat:
             return self._conclude(event.reason)
@@ -111,7 +128,7 @@
     def _(self, event: events.TimeRanOut):
         if self._streaming:
             return decisions.BreakOff(reason='timeout')
-        if self._may_have_run or self._in_progress:
+        if self._may_have_run or self._open_tries:
             return decisions.Fail(reason='timeout', timed_out=True)
         return decisions.Refuse(reason='timeout')
 
--- a/packages/savoryyoke/savoryyoke/placement/pool.py
+++ b/packages/savoryyoke/savoryyoke/placement/pool.py
@@ -109,11 +109,6 @@
             return False
         return self._holds_group_up(state)
 
-    def latency_s(self, target_id):
-        """Return the usual latency of a target, or None if unknown."""
-        state = self._states_by_id.get(target_id)
-        return state.health.latency_s if state else None
-
     def in_flight(self, target_id):
         """Return what all entries are known to have at a target."""
         state = self._states_by_id.get(target_id)
--- a/packages/savoryyoke/savoryyoke/retries/budgets.py
+++ b/packages/savoryyoke/savoryyoke/retries/budgets.py
@@ -19,6 +19,11 @@
         """Return how full the budget is, from 0.0 to 1.0."""
         return self._tokens / self._burst
 
+    @property
+    def share_after_withdrawal(self):
+        """Return how full the budget is once a further try is taken."""
+        return max(self._tokens - 1, 0.0) / self._burst
+
     def limit_burst(self, burst):
         """Lower the most that may be saved up, as more entries share it."""
         self._burst = min(self._burst, burst)
--- a/packages/savoryyoke/savoryyoke/retries/conf.py
+++ b/packages/savoryyoke/savoryyoke/retries/conf.py
@@ -12,6 +12,27 @@
 LATENCY_BUCKET_COUNT = 80
 LATENCY_WINDOW = 1000
 
+# A second try begins after the time that this share of the requests stay
+# under, so that second tries are as many as the others at most.
+HEDGE_QUANTILE = 0.95
+HEDGE_SHARE = 0.05
+# Each entry may send one at its start.
+HEDGE_BURST = 1.0
+# Part of the retry limit that is kept for tries that have failed.
+HEDGE_KEPT_SHARE = 0.5
+# A request that takes this many times the delay of a hedge, and is overtaken
+# at other targets, is taken for lost: it may draw on the retry limit.
+HEDGE_LOST_TIMES = 3.0
+# Two round trips to a target in another data centre and a short run.
+HEDGE_SHORTEST_S = 0.03
+# The quantile of 20 times is their second largest; a window of 200 is some
+# ten seconds of an entry's requests of one service.
+HEDGE_LEAST_TIMES = 20
+HEDGE_WINDOW = 200
+HEDGE_TIME_ERROR = 0.05
+# Routes and sizes at one entry; a sketch takes 2 KB.
+HEDGE_KEYS_LIMIT = 1024
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class RetryPolicy:
--- a/packages/savoryyoke/tests/forwarding/test_ledger.py
+++ b/packages/savoryyoke/tests/forwarding/test_ledger.py
@@ -227,6 +227,31 @@
         self.assertGreater(most, 1)
 
 
+class TwoOpenTriesTests(unittest.TestCase):
+    def setUp(self):
+        self.book = build(may_repeat=True)
+        send(self.book, 't1')
+
+    def test_second_try_needs_a_first_that_was_sent(self):
+        self.assertFalse(build(may_repeat=True).may_hedge)
+        self.assertTrue(self.book.may_hedge)
+        send(self.book, 't2')
+        self.assertFalse(self.book.may_hedge)
+        self.assertFalse(build(may_repeat=False).may_hedge)
+
+    def test_refusal_of_one_proves_nothing_of_the_other(self):
+        send(self.book, 't2')
+        self.book.apply(events.TargetRefused(target_id='t2'))
+        decision = self.book.apply(events.TimeRanOut())
+        self.assertIsInstance(decision, decisions.Fail)
+
+    def test_refusals_of_both_prove_that_it_has_not_run(self):
+        send(self.book, 't2')
+        self.book.apply(events.TargetRefused(target_id='t2'))
+        decision = self.book.apply(events.TargetRefused(target_id='t1'))
+        self.assertIsInstance(decision, decisions.Refuse)
+
+
 class UnknownEventTests(unittest.TestCase):
     def test_is_refused(self):
         with self.assertRaises(exceptions.UnknownEvent):
