Let readings of large fleets wait longer, since entries hear each other

The wait grows with the entries that are heard, 0.25 s each up to 25 s, and is spread, so that one of the fleet renews within 2 s. An entry that hears of a newer view during a long wait renews its reading first, and copies the view if that does not help. Up to 8 heard peers, and for an entry that hears nobody, the wait stays 2 s.

Played (tests/published): 16, 44 and 99 entries make below 8 calls a second, and the largest gap between two renewals stays below 2 s up to 350 entries.

--- a/packages/savoryyoke-gateway/savoryyoke_gateway/conf.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/conf.py
@@ -55,9 +55,7 @@
 # failure, so that its return is noticed well within a second.
 SOURCE_RETRY_S = 0.4
 
-# A waiting read that stays open for so long finds a silent connection
-# before an entry counts as in touch again (three seconds).
-SOURCE_WAIT_S = 2.0
+# The platform answers within this time, or after the wait it was asked for.
 SOURCE_TIMEOUT_S = 0.5
 
 # A peer's newer view is copied when the platform has not told this entry of
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/daemon.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/daemon.py
@@ -12,6 +12,7 @@
 
 from savoryyoke_edge import logs
 from savoryyoke_edge import servers
+from savoryyoke_edge import supervision
 from savoryyoke_gateway import application
 from savoryyoke_gateway import conf
 from savoryyoke_gateway import crashes
@@ -91,6 +92,7 @@
             suspects=self._suspects,
             describe=self._describe,
             find_pause_s=self._find_pause_s,
+            renew_reading=lambda: self._follower.renew(),
             draw=draw,
             clock=clock,
         )
@@ -99,6 +101,9 @@
             knowledge=self.knowledge,
             metrics=self._metrics,
             find_pause_s=self._find_pause_s,
+            find_wait_s=lambda: published_pacing.find_wait_s(
+                peers=len(self.peering.table.alive(now_s=clock())), draw=draw
+            ),
         )
         self._front = application.FrontApplication(
             forwarder=forwarder.Forwarder(
@@ -172,10 +177,13 @@
         gc.collect()
         gc.freeze()
         async with anyio.create_task_group() as group:
-            group.start_soon(self._watch_signals)
-            group.start_soon(self.peering.run)
-            group.start_soon(self._follower.run)
-            group.start_soon(self._crashes.run)
+            for task in (
+                self._watch_signals,
+                self.peering.run,
+                self._follower.run,
+                self._crashes.run,
+            ):
+                group.start_soon(_keep_running, task)
             group.start_soon(server.serve, listeners)
             await self._stopping.run(
                 count_in_flight=lambda: self._front.in_flight,
@@ -292,3 +300,7 @@
                 ),
             }
         )
+
+
+async def _keep_running(task):
+    await supervision.keep_running(task, name=task.__qualname__)
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/following.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/following.py
@@ -2,6 +2,7 @@
 
 import anyio
 
+from savoryyoke.published import conf as published_conf
 from savoryyoke.published import exceptions as published_exceptions
 from savoryyoke.published import models
 
@@ -16,16 +17,20 @@
     its callers the newest configuration.
     """
 
-    def __init__(self, *, source, knowledge, metrics, find_pause_s):
+    def __init__(
+        self, *, source, knowledge, metrics, find_pause_s, find_wait_s
+    ):
         """Prepare to follow.
 
         ``find_pause_s()`` returns the pause between a change and the next
-        reading.
+        reading, ``find_wait_s()`` how long a reading waits for a change.
         """
         self._source = source
         self._knowledge = knowledge
         self._metrics = metrics
         self._find_pause_s = find_pause_s
+        self._find_wait_s = find_wait_s
+        self._long_wait = None
         self._needs_snapshot = True
         self._is_lost = False
 
@@ -38,18 +43,37 @@
                 self._metrics.count_reading('history-lost')
                 self._needs_snapshot = True
             except published_exceptions.SourceUnavailable as error:
+                self._long_wait = None
                 self._note_lost(error)
                 await anyio.sleep(conf.SOURCE_RETRY_S)
             else:
-                if self._take_in(reading):
+                if reading is not None and self._take_in(reading):
                     await anyio.sleep(self._find_pause_s())
 
     async def _read(self):
         if self._needs_snapshot:
             return await self._source.read_snapshot()
-        return await self._source.read_changes(
-            after=self._knowledge.as_of, wait_s=conf.SOURCE_WAIT_S
-        )
+        wait_s = self._find_wait_s()
+        reading = None
+        with anyio.CancelScope() as scope:
+            if wait_s > published_conf.WAIT_S:
+                self._long_wait = scope
+            reading = await self._source.read_changes(
+                after=self._knowledge.as_of, wait_s=wait_s
+            )
+        self._long_wait = None
+        return reading
+
+    def renew(self):
+        """Give up a long wait for changes that others have seen already.
+
+        Return whether there was one: its connection has fallen silent.
+        """
+        if self._long_wait is None:
+            return False
+        self._long_wait.cancel()
+        self._long_wait = None
+        return True
 
     def _take_in(self, reading):
         """Put a reading in force; return whether it moved the view."""
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/peering.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/peering.py
@@ -34,7 +34,9 @@
 
     ``describe()`` returns whether this entry is ready, whether it leaves,
     and its requests in flight by target id. ``find_pause_s()`` returns how
-    long this entry puts off reading a change from the platform.
+    long this entry puts off reading a change from the platform;
+    ``renew_reading()`` gives up a long wait for changes and returns whether
+    there was one.
     """
 
     def __init__(
@@ -46,6 +48,7 @@
         suspects,
         describe,
         find_pause_s,
+        renew_reading,
         draw,
         clock,
     ):
@@ -55,6 +58,8 @@
         self._suspects = suspects
         self._describe = describe
         self._find_pause_s = find_pause_s
+        self._renew_reading = renew_reading
+        self._has_renewed = False
         self._clock = clock
         self._incarnation = int(draw() * 2**63)
         self._sequence = itertools.count(1)
@@ -283,13 +288,20 @@
             )
             if host is None:
                 self._behind_since_s = None
+                self._has_renewed = False
                 continue
             if self._behind_since_s is None:
                 self._behind_since_s = self._clock()
             behind_s = self._clock() - self._behind_since_s
             patience_s = conf.PEER_COPY_AFTER_S + self._find_pause_s()
-            if behind_s >= patience_s:
-                await self._copy_from(host)
+            if behind_s < patience_s:
+                continue
+            if not self._has_renewed and self._renew_reading():
+                self._has_renewed = True
+                self._behind_since_s += conf.PEER_COPY_AFTER_S
+                logs.write_event('reading_renewed', newer_at=host)
+                continue
+            await self._copy_from(host)
 
     async def _copy_from(self, host):
         try:
--- /dev/null
+++ b/packages/savoryyoke-gateway/tests/test_following.py
@@ -0,0 +1,83 @@
+"""Test how an entry follows the platform's published values."""
+
+import unittest
+
+import anyio
+import prometheus_client
+
+from savoryyoke.published import conf as published_conf
+from savoryyoke.published import models
+
+from savoryyoke_gateway import following
+from savoryyoke_gateway import metrics
+
+
+class SilentSource:
+    """Answer the first reading; leave changes unanswered while silent."""
+
+    def __init__(self):
+        self.is_silent = True
+        self.waits_s = []
+
+    async def read_snapshot(self):
+        return models.Snapshot(as_of=1, items=())
+
+    async def read_changes(self, *, after, wait_s):
+        self.waits_s.append(wait_s)
+        if self.is_silent:
+            await anyio.sleep_forever()
+        return models.Changes(as_of=after + 1, items=(), removed_keys=())
+
+
+class View:
+    """Stand in for the knowledge of an entry."""
+
+    def __init__(self):
+        self.as_of = 0
+
+    def take_in(self, reading, *, source, after_outage):
+        self.as_of = max(self.as_of, reading.as_of)
+
+
+class RenewalTests(unittest.TestCase):
+    def follow(self, *, wait_s, scenario):
+        """Run ``scenario(follower, source, view)`` beside a follower."""
+
+        async def run():
+            source, view = SilentSource(), View()
+            follower = following.Follower(
+                source=source,
+                knowledge=view,
+                metrics=metrics.GatewayMetrics(
+                    registry=prometheus_client.CollectorRegistry()
+                ),
+                find_pause_s=lambda: 0.05,
+                find_wait_s=lambda: wait_s,
+            )
+            async with anyio.create_task_group() as group:
+                group.start_soon(follower.run)
+                with anyio.fail_after(5.0):
+                    while not source.waits_s:
+                        await anyio.sleep(0.01)
+                    await scenario(follower, source, view)
+                group.cancel_scope.cancel()
+
+        anyio.run(run)
+
+    def test_long_wait_is_renewed(self):
+        async def scenario(follower, source, view):
+            source.is_silent = False
+            self.assertTrue(follower.renew())
+            while view.as_of < 2:
+                await anyio.sleep(0.01)
+            self.assertGreaterEqual(len(source.waits_s), 2)
+
+        self.follow(wait_s=20.0, scenario=scenario)
+
+    def test_usual_wait_ends_by_itself(self):
+        async def scenario(follower, source, view):
+            self.assertFalse(follower.renew())
+            await anyio.sleep(0.05)
+            self.assertEqual(1, len(source.waits_s))
+
+        self.follow(wait_s=published_conf.WAIT_S, scenario=scenario)
--- a/packages/savoryyoke/savoryyoke/published/conf.py
+++ b/packages/savoryyoke/savoryyoke/published/conf.py
@@ -16,3 +16,14 @@
 # change and more.
 URGENT_PAUSE_PER_ENTRY_S = 0.005
 URGENT_PAUSE_MOST_S = 0.3
+
+# A waiting read that stays open for so long finds a silent connection before
+# an entry counts as in touch again (three seconds).
+WAIT_S = 2.0
+# Of a fleet whose entries hear each other, one at least renews its reading in
+# each quarter of a second, and tells the others if something has changed. The
+# platform holds a waiting read for 30 s at most.
+FLEET_WAIT_PER_PEER_S = 0.25
+WAIT_MOST_S = 25.0
+# Renewals of a fleet that starts at once are spread over this part.
+WAIT_SPREAD = 0.5
--- a/packages/savoryyoke/savoryyoke/published/pacing.py
+++ b/packages/savoryyoke/savoryyoke/published/pacing.py
@@ -17,3 +17,14 @@
             entries * conf.URGENT_PAUSE_PER_ENTRY_S, conf.URGENT_PAUSE_MOST_S
         )
     return min(entries * conf.PAUSE_PER_ENTRY_S, conf.PAUSE_MOST_S)
+
+
+def find_wait_s(*, peers, draw):
+    """Return how long a reading waits for a change, in seconds.
+
+    ``peers`` counts the entries that are heard now. Answers large fleets,
+    which spend most calls to the platform on renewed waiting reads. An entry
+    that hears nobody finds a silent connection by itself.
+    """
+    wait_s = min(peers * conf.FLEET_WAIT_PER_PEER_S, conf.WAIT_MOST_S)
+    return max(wait_s * (1 - conf.WAIT_SPREAD * draw()), conf.WAIT_S)
--- a/packages/savoryyoke/tests/published/test_pacing.py
+++ b/packages/savoryyoke/tests/published/test_pacing.py
@@ -1,5 +1,6 @@
 """Test how soon published values are read again."""
 
+import random
 import unittest
 
 from savoryyoke.published import conf
@@ -43,3 +44,46 @@
     def test_pause_is_bounded(self):
         pause_s = pacing.find_pause_s(entries=5000, is_settled=True)
         self.assertEqual(conf.PAUSE_MOST_S, pause_s)
+
+
+class WaitTests(unittest.TestCase):
+    def play(self, entries, *, seconds=60.0):
+        """Return when the entries of a quiet fleet renew their readings."""
+        source = random.Random(entries)
+        renewed_s = []
+        for _ in range(entries):
+            now_s = 0.0
+            while now_s < seconds:
+                now_s += pacing.find_wait_s(
+                    peers=entries - 1, draw=source.random
+                )
+                renewed_s.append(now_s)
+        return sorted(renewed_s)
+
+    def test_small_fleets_and_lone_entries_find_silence_in_time(self):
+        for peers in (0, 1, 7):
+            wait_s = pacing.find_wait_s(peers=peers, draw=lambda: 1.0)
+            self.assertEqual(conf.WAIT_S, wait_s)
+
+    def test_calls_of_a_quiet_fleet_hardly_grow(self):
+        for entries in (16, 44, 99):
+            with self.subTest(entries=entries):
+                self.assertLess(len(self.play(entries)) / 60.0, 8.0)
+
+    def test_one_of_the_fleet_finds_silence_soon(self):
+        for entries in (16, 44, 99, 350):
+            with self.subTest(entries=entries):
+                renewed_s = self.play(entries)
+                gaps_s = [
+                    after - before
+                    for before, after in zip(
+                        renewed_s[:-entries], renewed_s[1:], strict=False
+                    )
+                    # The fleet spreads out over its first wait.
+                    if before > conf.WAIT_MOST_S
+                ]
+                self.assertLess(max(gaps_s), conf.WAIT_S)
+
+    def test_wait_is_bounded(self):
+        wait_s = pacing.find_wait_s(peers=5000, draw=lambda: 0.0)
+        self.assertEqual(conf.WAIT_MOST_S, wait_s)
