Keep a running sum of the requests that peers have in flight

Cause: each choice of a target summed the reports of all peers for each target, twice: 129 targets and 98 peers are 25,000 look-ups a request.

Ruled out: caching the choice itself, which changes with each request.

The sum is kept as reports come and go.

Before and after: same counts in 2,000 random reports and losses (test_dispatcher.PeerCountTests, which fails if a lost peer's counts stay); no processor time measured yet.

--- a/packages/savoryyoke/savoryyoke/placement/pool.py
+++ b/packages/savoryyoke/savoryyoke/placement/pool.py
@@ -63,6 +63,7 @@
         self._states_by_id = {}
         self._paces_by_address = {}
         self._requests_by_target_by_peer = {}
+        self._peer_requests_by_target = collections.Counter()
         self.notices = notices.TargetNotices()
 
     def set_cold_rate(self, rate_per_s):
@@ -88,11 +89,19 @@
 
     def note_peer(self, peer_id, requests_by_target_id):
         """Take over what a peer has in flight."""
+        self.drop_peer(peer_id)
         self._requests_by_target_by_peer[peer_id] = requests_by_target_id
+        self._peer_requests_by_target.update(requests_by_target_id)
 
     def drop_peer(self, peer_id):
         """Forget what a peer had in flight."""
-        self._requests_by_target_by_peer.pop(peer_id, None)
+        known = self._requests_by_target_by_peer.pop(peer_id, {})
+        for target_id, requests in known.items():
+            left = self._peer_requests_by_target[target_id] - requests
+            if left:
+                self._peer_requests_by_target[target_id] = left
+            else:
+                del self._peer_requests_by_target[target_id]
 
     def own_in_flight(self):
         """Return this entry's requests in flight by target id."""
@@ -113,11 +122,7 @@
         """Return what all entries are known to have at a target."""
         state = self._states_by_id.get(target_id)
         own = state.own_in_flight if state else 0
-        peers = sum(
-            requests.get(target_id, 0)
-            for requests in self._requests_by_target_by_peer.values()
-        )
-        return own + peers
+        return own + self._peer_requests_by_target[target_id]
 
     def take(self, target_id, *, now_s):
         """Count a request that is sent to a target."""
--- a/packages/savoryyoke/tests/placement/test_dispatcher.py
+++ b/packages/savoryyoke/tests/placement/test_dispatcher.py
@@ -415,3 +415,34 @@
     def test_is_refused(self):
         with self.assertRaises(exceptions.UnknownEvent):
             self.apply(object())
+
+
+class PeerCountTests(DispatcherCase):
+    """Test the running sum of what peers have in flight."""
+
+    def test_agrees_with_the_newest_reports(self):
+        source = random.Random(_SEED)
+        pool_ = self.dispatcher.pool
+        newest_by_peer = {}
+        for _ in range(2000):
+            peer_id = f'e{source.randrange(20)}'
+            if source.random() < 0.2:
+                newest_by_peer.pop(peer_id, None)
+                self.apply(events.PeerLost(peer_id=peer_id))
+            else:
+                reported = {
+                    f't{number}': source.randrange(1, 4)
+                    for number in source.sample(range(6), 3)
+                }
+                newest_by_peer[peer_id] = reported
+                self.apply(
+                    events.PeerReported(
+                        peer_id=peer_id, requests_by_target_id=reported
+                    )
+                )
+            for number in range(6):
+                target_id = f't{number}'
+                expected = sum(
+                    x.get(target_id, 0) for x in newest_by_peer.values()
+                )
+                self.assertEqual(expected, pool_.in_flight(target_id))
