Let the soak's targets leave, ask for pauses and answer without end

Targets are told by signals to say that they leave while the list calls them ready, to turn requests away with a pause, and to answer some with bytes that drip or never end. Two promises more: an entry sends nothing to a target whose answer it passed on said that it leaves, later than the users' time to drain, and leaves a busy one alone for its pause. A mutant for each; test_promises checks what breaks them and what excuses it.

--- a/packages/savoryyoke-soak/savoryyoke_soak/callers.py
+++ b/packages/savoryyoke-soak/savoryyoke_soak/callers.py
@@ -105,7 +105,7 @@
         life = self._find_life(address)
         sent_s = time.monotonic()
         status, answered_id, received = None, None, b''
-        is_whole, broken = False, None
+        is_whole, broken, leaving_id = False, None, None
         try:
             # A caller that gets nothing leaves in the end.
             with anyio.fail_after(conf.DEADLINE_S + 3 * conf.BUSY_S):
@@ -117,6 +117,9 @@
                 ) as answer:
                     status = answer.status
                     answered_id = _find_header(answer, b'x-request-id')
+                    if _find_header(answer, b'server-leaving'):
+                        seal = _find_header(answer, b'x-server-seal') or ''
+                        leaving_id = seal.removeprefix('seal-')
                     async for part in answer.aiter_stream():
                         received += part
             is_whole = True
@@ -134,6 +137,7 @@
             answered_id=answered_id,
             is_whole=is_whole,
             broken=broken,
+            leaving_id=leaving_id,
         )
 
 
--- a/packages/savoryyoke-soak/savoryyoke_soak/conf.py
+++ b/packages/savoryyoke-soak/savoryyoke_soak/conf.py
@@ -37,6 +37,13 @@
 LEARNING_S = 3.0
 ARRIVALS_AFTER_LIMIT = 3
 
+# A busy target turns all requests away for a while, and asks for a pause with
+# each. The users grant two requests in a pause, its first moment left out.
+BUSY_FOR_S = 0.4
+PAUSE_S = 2.0
+PAUSE_GRACE_S = 0.5
+ARRIVALS_IN_PAUSE = 2
+
 # A stopped entry finishes what it has begun within this time.
 GRACE_S = 8.0
 STOP_S = GRACE_S + 3.0
--- a/packages/savoryyoke-soak/savoryyoke_soak/faults.py
+++ b/packages/savoryyoke-soak/savoryyoke_soak/faults.py
@@ -13,7 +13,14 @@
     'store-history',
     'store-garbage',
 )
-TARGET_FAULTS = ('kill-target', 'freeze-target', 'drain-target')
+TARGET_FAULTS = (
+    'kill-target',
+    'freeze-target',
+    'drain-target',
+    'leaving-target',
+    'busy-target',
+    'endless-target',
+)
 REQUEST_FAULTS = ('fatal-request',)
 LINK_FAULTS = ('delay', 'reset', 'cut-to', 'cut-from', 'silence')
 # Links fail more often than processes do.
--- a/packages/savoryyoke-soak/savoryyoke_soak/fleet.py
+++ b/packages/savoryyoke-soak/savoryyoke_soak/fleet.py
@@ -191,7 +191,11 @@
                 upstream.append((rest[0], int(rest[1])))
                 has_address.set()
             elif word == 'run':
-                self._note_run(rest, target_id)
+                self._note(records.Run, self._history.runs, rest, target_id)
+            elif word == 'busy':
+                self._note(
+                    records.Refusal, self._history.refusals, rest, target_id
+                )
 
         place.child = children.Child(
             arguments=['-m', 'savoryyoke_soak.backend', target_id],
@@ -223,11 +227,13 @@
         self.store.remove(f'servers/{place.target_id}')
         place.child.kill()
 
-    def _note_run(self, words, target_id):
+    @staticmethod
+    def _note(kind, noted, words, target_id):
+        """Note a request at a target, unless it is a probe of this run."""
         request_id, at_s = words
         if not request_id.startswith('probe-'):
-            self._history.runs.append(
-                records.Run(
+            noted.append(
+                kind(
                     request_id=request_id,
                     target_id=target_id,
                     at_s=float(at_s),
--- a/packages/savoryyoke-soak/savoryyoke_soak/mutants.py
+++ b/packages/savoryyoke-soak/savoryyoke_soak/mutants.py
@@ -9,6 +9,7 @@
 
 from savoryyoke.forwarding import framing
 from savoryyoke.forwarding import ledger
+from savoryyoke.placement import notices
 from savoryyoke_gateway import callers
 from savoryyoke_gateway import dispatching
 from savoryyoke_gateway import following
@@ -88,6 +89,17 @@
     dispatching.Dispatching.publish = publish_all
 
 
+def _ignore_notices():
+    """Forget that a target has said that it leaves."""
+    notices.TargetNotices.is_leaving = lambda self, target: False
+    notices.TargetNotices.is_hinted = lambda self, target, now_s: False
+
+
+def _ignore_pauses():
+    """Send to a target that wants nothing."""
+    notices.TargetNotices.most_in_flight = lambda self, target, now_s: None
+
+
 def _hold_answers():
     """Keep what was answered for longer than any caller waits."""
     serve = forwarder.Forwarder.serve
@@ -121,6 +133,8 @@
     'answered': _hold_answers,
     'configuration': _stay_behind,
     'leaving': _keep_leaving_targets,
+    'announced': _ignore_notices,
+    'paused': _ignore_pauses,
     'crashing': _send_what_crashes,
     'stop': _stop_badly,
 }
--- a/packages/savoryyoke-soak/savoryyoke_soak/promises.py
+++ b/packages/savoryyoke-soak/savoryyoke_soak/promises.py
@@ -156,6 +156,60 @@
             )
 
 
+def _check_announced(history):
+    """An entry sends nothing to a target whose answer said that it leaves."""
+    calls_by_id = {call.request_id: call for call in history.calls}
+    announced_s = {}
+    for call in history.calls:
+        if call.leaving_id:
+            key = (call.life, call.leaving_id)
+            announced_s.setdefault(key, call.ended_s)
+            announced_s[key] = min(announced_s[key], call.ended_s)
+    for run in history.runs:
+        call = calls_by_id.get(run.request_id)
+        since_s = call and announced_s.get((call.life, run.target_id))
+        if not since_s or call.sent_s <= since_s + conf.DRAIN_S:
+            continue
+        if not _is_troubled(history, call.life, since_s, run.at_s):
+            yield Breach(
+                promise='announced',
+                evidence=f'{run.target_id} gets {run.request_id} late',
+            )
+
+
+def _check_paused(history):
+    """An entry leaves a target alone for the pause that it asked for."""
+    calls_by_id = {call.request_id: call for call in history.calls}
+    arrived_s_by_key = collections.defaultdict(list)
+    for arrival in (*history.refusals, *history.runs):
+        call = calls_by_id.get(arrival.request_id)
+        if call is not None:
+            key = (call.life, arrival.target_id)
+            arrived_s_by_key[key].append(arrival.at_s)
+    for refusal in history.refusals:
+        call = calls_by_id.get(refusal.request_id)
+        if call is None:
+            continue
+        from_s = refusal.at_s + conf.PAUSE_GRACE_S
+        until_s = refusal.at_s + conf.PAUSE_S
+        arrived_s = arrived_s_by_key[call.life, refusal.target_id]
+        within = sum(from_s < at_s < until_s for at_s in arrived_s)
+        if within > conf.ARRIVALS_IN_PAUSE and not _is_troubled(
+            history, call.life, refusal.at_s, until_s
+        ):
+            yield Breach(
+                promise='paused',
+                evidence=f'{refusal.target_id} gets {within} in a pause',
+            )
+
+
+def _is_troubled(history, life, from_s, until_s):
+    return any(
+        trouble.on == life and trouble.overlaps(from_s, until_s)
+        for trouble in history.troubles
+    )
+
+
 def _check_stops(history):
     """Entries that are asked to stop end well and in time."""
     for stop in history.stops:
@@ -199,10 +253,7 @@
     from_s = call.sent_s - conf.LEARNING_S - conf.BUSY_S
     if history.began_s_by_life.get(call.life, 0.0) > from_s:
         return True
-    return any(
-        trouble.on == call.life and trouble.overlaps(from_s, call.ended_s)
-        for trouble in history.troubles
-    )
+    return _is_troubled(history, call.life, from_s, call.ended_s)
 
 
 def _is_excused_call(history, call):
@@ -229,6 +280,8 @@
     _check_answered,
     _check_configuration,
     _check_leaving,
+    _check_announced,
+    _check_paused,
     _check_crashing,
     _check_stops,
 )
--- a/packages/savoryyoke-soak/savoryyoke_soak/records.py
+++ b/packages/savoryyoke-soak/savoryyoke_soak/records.py
@@ -19,6 +19,7 @@
     ``life`` names the run of the entry process that was called.
     ``is_whole`` tells whether the answer came to its end as HTTP has it;
     ``broken`` is why it did not, else None. ``sent_body`` is the caller's.
+    ``leaving_id`` is the target whose answer said that it leaves, or None.
     """
 
     request_id: str
@@ -32,6 +33,7 @@
     is_whole: bool
     broken: str | None
     sent_body: bytes = b''
+    leaving_id: str | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -43,6 +45,15 @@
     at_s: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Refusal:
+    """Hold a request that a busy target has answered with a pause."""
+
+    request_id: str
+    target_id: str
+    at_s: float
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Probe:
     """Hold whether an entry has a version of the configuration in force."""
@@ -88,6 +99,7 @@
 
     calls: list[Call] = dataclasses.field(default_factory=list)
     runs: list[Run] = dataclasses.field(default_factory=list)
+    refusals: list[Refusal] = dataclasses.field(default_factory=list)
     probes: list[Probe] = dataclasses.field(default_factory=list)
     troubles: list[Trouble] = dataclasses.field(default_factory=list)
     stops: list[Stop] = dataclasses.field(default_factory=list)
--- a/packages/savoryyoke-soak/savoryyoke_soak/runner.py
+++ b/packages/savoryyoke-soak/savoryyoke_soak/runner.py
@@ -300,6 +300,21 @@
         self._fleet.remove_target(place)
         await self._fleet.start_target(place)
 
+    async def _announce_leaving(self, place, fault):
+        """Let a target say that it leaves while the list calls it ready."""
+        place.child.signal(signal.SIGUSR1)
+        await anyio.sleep(conf.DRAIN_S + conf.BUSY_S + fault.for_s)
+        self._fleet.remove_target(place)
+        await self._fleet.start_target(place)
+
+    async def _ask_for_pause(self, place, fault):
+        place.child.signal(signal.SIGUSR2)
+        await anyio.sleep(conf.BUSY_FOR_S)
+
+    async def _answer_without_end(self, place, fault):
+        place.child.signal(signal.SIGHUP)
+        await anyio.sleep(fault.for_s)
+
     async def _disturb_link(self, fault):
         proxy = self._fleet.targets[fault.place].proxy
         proxy.set_mode(proxies.Mode(fault.kind))
@@ -342,4 +357,7 @@
     'kill-target': _target_fault(Soak._kill_target),
     'freeze-target': _target_fault(Soak._freeze_target),
     'drain-target': _target_fault(Soak._drain_target),
+    'leaving-target': _target_fault(Soak._announce_leaving),
+    'busy-target': _target_fault(Soak._ask_for_pause),
+    'endless-target': _target_fault(Soak._answer_without_end),
 } | dict.fromkeys(faults.LINK_FAULTS, Soak._disturb_link)
--- a/packages/savoryyoke-soak/tests/test_promises.py
+++ b/packages/savoryyoke-soak/tests/test_promises.py
@@ -41,7 +41,7 @@
     )
 
 
-class PromiseTests(unittest.TestCase):
+class HistoryCase(unittest.TestCase):
     def setUp(self):
         self.history = records.History()
         self.history.written_s_by_version[1] = 0.0
@@ -68,6 +68,8 @@
             records.Probe(life=LIFE, version=1, at_s=at_s, in_force=in_force)
         )
 
+
+class PromiseTests(HistoryCase):
     def test_answers_in_full_break_nothing(self):
         for kind in records.Kind:
             self.add(build_call(kind))
@@ -203,3 +205,61 @@
                 records.Stop(life=LIFE, status=status, took_s=3.0)
             )
         self.assert_broken('stop', 'stop')
+
+
+class NoticeTests(HistoryCase):
+    """Test the promises that targets' own words bind."""
+
+    def send(self, number, *, sent_s, **changes):
+        """Add a call that ran at the usual target."""
+        call = build_call(
+            request_id=f'lookup-{number}',
+            answered_id=f'lookup-{number}',
+            sent_s=sent_s,
+            ended_s=sent_s + 0.1,
+            **changes,
+        )
+        self.history.calls.append(call)
+        self.history.runs.append(build_run(call, at_s=sent_s + 0.05))
+
+    def refuse(self, number, *, at_s):
+        """Add a call that a busy target answered with a pause."""
+        self.history.calls.append(
+            build_call(
+                request_id=f'busy-{number}',
+                sent_s=at_s,
+                ended_s=at_s + 0.1,
+                status=503,
+            )
+        )
+        self.history.refusals.append(
+            records.Refusal(
+                request_id=f'busy-{number}', target_id='target-1', at_s=at_s
+            )
+        )
+
+    def test_work_for_a_target_that_said_it_leaves(self):
+        self.send(1, sent_s=10.0, leaving_id='target-1')
+        self.send(2, sent_s=10.0 + conf.DRAIN_S)
+        self.assert_broken()
+        self.send(3, sent_s=10.2 + conf.DRAIN_S)
+        self.assert_broken('announced')
+        self.trouble('frozen', from_s=11.0, until_s=12.0)
+        self.assert_broken()
+
+    def test_other_entries_have_not_heard_it(self):
+        self.send(1, sent_s=10.0, leaving_id='target-1')
+        self.send(2, sent_s=20.0, life='entry-2.1')
+        self.assert_broken()
+
+    def test_requests_in_a_pause(self):
+        self.refuse(1, at_s=10.0)
+        for number in range(conf.ARRIVALS_IN_PAUSE):
+            self.send(number, sent_s=10.6 + 0.1 * number)
+        self.send(8, sent_s=10.1)
+        self.send(9, sent_s=10.0 + conf.PAUSE_S)
+        self.assert_broken()
+        self.send(7, sent_s=11.0)
+        self.assert_broken('paused')
+        self.trouble('killed', from_s=11.0, until_s=12.0)
+        self.assert_broken()
--- a/packages/savoryyoke-soak/tests/test_soak.py
+++ b/packages/savoryyoke-soak/tests/test_soak.py
@@ -26,6 +26,11 @@
     'once': RESETS,
     'not-run': RESETS,
     'leaving': (build_fault('drain-target'),),
+    'announced': (build_fault('leaving-target', at_s=0.2),),
+    'paused': tuple(
+        build_fault('busy-target', place=number % 4, at_s=0.5 + number)
+        for number in range(5)
+    ),
     # Targets of a busy machine take a second or two to return.
     'crashing': (build_fault('fatal-request', for_s=12.0),),
     'stop': (build_fault('stop'),),
