Count the answer of a race that is still closing, and take places last

Cause: found by reading the change again. (1) A second try that failed while the first, which had its whole answer, was closing its connection ended the race without that answer (502). (2) A repeat took its place before the retry limit was asked, and a silent stream asks ten times a second: each time counted as sent to the cold limit of a target. (3) A try that the deadline cut was no longer told to the watch for crashes. (4) A wait for changes that lost its history stayed marked as renewable.

Ruled out: taking the limit first and giving it back, which is how it was lost where there was no place.

Before: gateway test_hedging test_failure_while_the_answer_closes_its_connection failed (the others of the five passed). Conclusion: (1) to (3) mended, (2) without a test of its own.

--- a/packages/savoryyoke-gateway/savoryyoke_gateway/following.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/following.py
@@ -43,7 +43,6 @@
                 self._metrics.count_reading('history-lost')
                 self._needs_snapshot = True
             except published_exceptions.SourceUnavailable as error:
-                self._long_wait = None
                 self._note_lost(error)
                 await anyio.sleep(conf.SOURCE_RETRY_S)
             else:
@@ -55,13 +54,15 @@
             return await self._source.read_snapshot()
         wait_s = self._find_wait_s()
         reading = None
-        with anyio.CancelScope() as scope:
-            if wait_s > published_conf.WAIT_S:
-                self._long_wait = scope
-            reading = await self._source.read_changes(
-                after=self._knowledge.as_of, wait_s=wait_s
-            )
-        self._long_wait = None
+        try:
+            with anyio.CancelScope() as scope:
+                if wait_s > published_conf.WAIT_S:
+                    self._long_wait = scope
+                reading = await self._source.read_changes(
+                    after=self._knowledge.as_of, wait_s=wait_s
+                )
+        finally:
+            self._long_wait = None
         return reading
 
     def renew(self):
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/forwarder.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/forwarder.py
@@ -260,15 +260,18 @@
             return None
         if self._is_quarantined(call):
             return None
+        if decision.is_repeat and not self._allowances.covers_one(
+            call.service_name
+        ):
+            call.reason = 'retry-limit'
+            return None
         placed = self._find_other(call, decision, time_left_s)
         if isinstance(placed, placement_decisions.Refuse):
             call.reason = placed.reason.value
             return None
         # The limit is drawn on only for a repetition that has a place.
-        if decision.is_repeat and not self._allowances.take(call.service_name):
-            self._dispatching.give_back(call.service_name, placed)
-            call.reason = 'retry-limit'
-            return None
+        if decision.is_repeat:
+            self._allowances.take(call.service_name)
         return placed
 
     def _find_hedge(self, call, decision, *, is_lost):
@@ -278,12 +281,14 @@
             return None
         if self._suspects.find_withheld(call) is not None:
             return None
+        if not self._allowances.covers_hedge(
+            call.service_name, is_lost=is_lost
+        ):
+            return None
         placed = self._find_other(call, decision, time_left_s)
         if isinstance(placed, placement_decisions.Refuse):
             return None
-        if not self._allowances.take_hedge(call.service_name, is_lost=is_lost):
-            self._dispatching.give_back(call.service_name, placed)
-            return None
+        self._allowances.take_hedge(call.service_name, is_lost=is_lost)
         self._metrics.count_hedge(service=call.service_name)
         return placed
 
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/hedging.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/hedging.py
@@ -19,6 +19,14 @@
         self.ends = []
         self._has_ended = anyio.Event()
 
+    @property
+    def delivery(self):
+        """Return the end that brought an answer to deliver, or None."""
+        for end in self.ends:
+            if isinstance(end[0], decisions.Deliver):
+                return end
+        return None
+
     def note(self, decision, target):
         """Take in what a try led to."""
         self.ends.append((decision, target))
@@ -57,7 +65,9 @@
             decision, target = await self._race(call, placed, began_s)
         finally:
             self._timing.note_ended(key, number)
-        if isinstance(decision, decisions.Deliver):
+        if isinstance(decision, decisions.Deliver) and (
+            not call.answer.is_failure
+        ):
             self._timing.note(
                 key,
                 target.target_id,
@@ -81,13 +91,10 @@
             )
             if hedge is not None:
                 group.start_soon(try_at, hedge)
-                while len(race.ends) < 2 and not _has_answer(call):
+                while len(race.ends) < 2 and not _is_decided(call, race):
                     await race.wait()
             group.cancel_scope.cancel()
-        for decision, target in race.ends:
-            if isinstance(decision, decisions.Deliver):
-                return decision, target
-        return race.ends[-1]
+        return race.delivery or race.ends[-1]
 
     async def _wait_for_hedge(self, call, target, race, began_s):
         """Return the placement of a second try; None once the first ended."""
@@ -125,8 +132,9 @@
             return placed
 
 
-def _has_answer(call):
-    return call.answer is not None and not call.answer.is_failure
+def _is_decided(call, race):
+    """Return whether a try has ended with an answer that is no failure."""
+    return race.delivery is not None and not call.answer.is_failure
 
 
 def _build_key(call):
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/retrying.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/retrying.py
@@ -45,8 +45,12 @@
         """Take one repeated try; return whether there was one left."""
         return self._find(service_name).withdraw(now_s=self._clock())
 
-    def take_hedge(self, service_name, *, is_lost):
-        """Take one second try; return whether there was one left.
+    def covers_one(self, service_name):
+        """Return whether a repeated try is left."""
+        return self._find(service_name).covers_one
+
+    def covers_hedge(self, service_name, *, is_lost):
+        """Return whether a second try is left.
 
         ``is_lost`` tells a request that is taken for lost from a slow one:
         it may draw on all that failed tries leave over.
@@ -54,9 +58,13 @@
         left_share = self._find(service_name).share_after_withdrawal
         if left_share < retries_conf.HEDGE_KEPT_SHARE:
             return False
-        hedges = self._hedges_by_service[service_name]
-        if not hedges.withdraw() and not is_lost:
+        return is_lost or self._hedges_by_service[service_name].covers_one
+
+    def take_hedge(self, service_name, *, is_lost):
+        """Take one second try; return whether there was one left."""
+        if not self.covers_hedge(service_name, is_lost=is_lost):
             return False
+        self._hedges_by_service[service_name].withdraw()
         return self.take(service_name)
 
     def level(self, service_name):
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/tries.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/tries.py
@@ -268,13 +268,13 @@
 
     def _end_try(self, call, target, attempt):
         held_s = None
-        if attempt.result is _Result.WITHDRAWN:
-            self._judge_withdrawn(call, attempt)
         if attempt.result is _Result.ANSWERED:
             held_s = self._clock() - attempt.started_s
             self._suspects.note_answered(call, target)
-        elif attempt.result is _Result.WITHDRAWN and attempt.sent_s:
-            self._crashes.note_given_up(call, target)
+        elif attempt.result is _Result.WITHDRAWN:
+            if attempt.sent_s is not None:
+                self._crashes.note_given_up(call, target)
+            self._judge_withdrawn(call, attempt)
         self._dispatching.end_try(
             call.service_name,
             placement_events.TryEnded(
--- a/packages/savoryyoke/savoryyoke/retries/budgets.py
+++ b/packages/savoryyoke/savoryyoke/retries/budgets.py
@@ -19,6 +19,11 @@
         """Return how full the budget is, from 0.0 to 1.0."""
         return self._tokens / self._burst
 
+    @property
+    def covers_one(self):
+        """Return whether a repeated try is left."""
+        return self._tokens >= 1
+
     @property
     def share_after_withdrawal(self):
         """Return how full the budget is once a further try is taken."""
--- a/packages/savoryyoke/savoryyoke/retries/hedging.py
+++ b/packages/savoryyoke/savoryyoke/retries/hedging.py
@@ -122,9 +122,14 @@
         """Count a request."""
         self._tokens = min(self._tokens + conf.HEDGE_SHARE, conf.HEDGE_BURST)
 
+    @property
+    def covers_one(self):
+        """Return whether a second try is left."""
+        return self._tokens >= 1
+
     def withdraw(self):
         """Take one second try; return whether there was one left."""
-        if self._tokens < 1:
+        if not self.covers_one:
             return False
         self._tokens -= 1
         return True
