Share the supervision of tasks, and pass the resume point to each try

Found by reading the change again. Both daemons wrapped keep_running alike to name the task: it takes the name itself now. A request that may be repeated lost the caller's Last-Event-Id since the second tries came, as the race passed none on: it passes it to both tries, as before them.

--- a/packages/savoryyoke-agent/savoryyoke_agent/daemon.py
+++ b/packages/savoryyoke-agent/savoryyoke_agent/daemon.py
@@ -98,7 +98,7 @@
                 self._report_pace,
                 self._watch_signals,
             ):
-                tasks.start_soon(_keep_running, task)
+                tasks.start_soon(supervision.keep_running, task)
             await self._stopped.wait()
             await self._end_change()
             tasks.cancel_scope.cancel()
@@ -495,10 +495,6 @@
             self._wake.set()
 
 
-async def _keep_running(task):
-    await supervision.keep_running(task, name=task.__qualname__)
-
-
 def _find_essence(report):
     """Return what a leader waits for in a report."""
     state = report.state
--- a/packages/savoryyoke-edge/savoryyoke_edge/supervision.py
+++ b/packages/savoryyoke-edge/savoryyoke_edge/supervision.py
@@ -8,7 +8,7 @@
 _PAUSE_S = 0.5
 
 
-async def keep_running(task, *, name):
+async def keep_running(task):
     """Run ``task()``; log an unexpected error and begin it again.
 
     Return when it ends by itself. A process that ends instead takes its
@@ -19,5 +19,5 @@
             await task()
             return
         except Exception as error:
-            logs.write_fault('task_failed', error, task=name)
+            logs.write_fault('task_failed', error, task=task.__qualname__)
         await anyio.sleep(_PAUSE_S)
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/daemon.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/daemon.py
@@ -183,7 +183,7 @@
                 self._follower.run,
                 self._crashes.run,
             ):
-                group.start_soon(_keep_running, task)
+                group.start_soon(supervision.keep_running, task)
             group.start_soon(server.serve, listeners)
             await self._stopping.run(
                 count_in_flight=lambda: self._front.in_flight,
@@ -300,7 +300,3 @@
                 ),
             }
         )
-
-
-async def _keep_running(task):
-    await supervision.keep_running(task, name=task.__qualname__)
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/hedging.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/hedging.py
@@ -62,7 +62,9 @@
             key, placed.target.target_id, sent_s=began_s
         )
         try:
-            decision, target = await self._race(call, placed, began_s)
+            decision, target = await self._race(
+                call, placed, resume_after, began_s
+            )
         finally:
             self._timing.note_ended(key, number)
         if isinstance(decision, decisions.Deliver) and (
@@ -76,12 +78,12 @@
             )
         return decision
 
-    async def _race(self, call, placed, began_s):
+    async def _race(self, call, placed, resume_after, began_s):
         """Return the decision that counts, and the target that led to it."""
         race = _Race()
 
         async def try_at(chosen):
-            decision = await self._tries.run(call, chosen, None)
+            decision = await self._tries.run(call, chosen, resume_after)
             race.note(decision, chosen.target)
 
         async with anyio.create_task_group() as group:
