Keep accepted state when the platform returns from an older copy

Cause: revisions were bare numbers. After a drill the store numbers its changes from an older revision again, and a reading below the view's revision was dropped until the numbers had caught up: a new configuration was in force on none of four entries after 8 s, re-used revisions passed for known ones, and an entry started in between took the copy's configuration and targets.

Ruled out: taking the newest epoch as it is (configurations revert, removed targets and keys return), keeping everything for good (dead targets stay).

Change: a revision is an epoch and a number, everywhere it is compared, logged, sent or cached. Entries ask a seed before their first read (0.2 s at most) and up to three peers after a new epoch; heartbeats carry epoch and configuration version. store_restored line, counter, OPERATIONS.

The soak has the drill as a fault, a promise 'restored' and a mutant.

--- a/packages/savoryyoke-agent/tests/support.py
+++ b/packages/savoryyoke-agent/tests/support.py
@@ -178,7 +178,9 @@
     listener = await anyio.create_tcp_listener(
         local_host='127.0.1.1', local_port=port
     )
-    empty = published_models.Snapshot(as_of=1, items=())
+    empty = published_models.Snapshot(
+        as_of=published_models.Revision(number=1), items=()
+    )
 
     async def handle(stream):
         await snapshots.send_snapshot(stream, empty)
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/conf.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/conf.py
@@ -66,6 +66,17 @@
 # from the platform within this time.
 PEER_COPY_DELAY_S = 0.3
 
+# Limit on the wait for a peer's view before an entry that starts reads the
+# platform. Peers answer within 10 ms, and an ended process refuses at once.
+START_COPY_TIMEOUT_S = 0.2
+
+# Number of peers that an entry asks after the platform was restored from an
+# older copy, for what it may have missed itself.
+RESTORE_COPIES = 3
+# Time in which they are asked. Each is asked once it has begun the new epoch
+# itself, at most one long poll after this entry.
+RESTORE_COPIES_FOR_S = 5.0
+
 # Callers cache an answer of the directory for its TTL; some of them cache it
 # for three times as long.
 DIRECTORY_TTL_S = 1.0
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/daemon.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/daemon.py
@@ -80,6 +80,8 @@
         )
         self.published_state = published_state.PublishedState(
             interpreter=interpreter,
+            hold_times=settings.hold_times,
+            metrics=self._metrics,
             clock=clock,
             on_change=self._apply_publication,
         )
@@ -103,6 +105,7 @@
             source=source,
             published_state=self.published_state,
             metrics=self._metrics,
+            ask_peers=self.peering.copies.copy_at_start,
             choose_read_pause_s=self._choose_read_pause_s,
             choose_long_poll_s=lambda: published_pacing.choose_long_poll_s(
                 peer_count=len(self.peering.table.alive(now_s=clock())),
@@ -305,7 +308,11 @@
                 ),
                 'published_revision': (
                     'Revision of the view of published values.',
-                    lambda: self.published_state.as_of,
+                    lambda: self.published_state.as_of.number,
+                ),
+                'published_epoch': (
+                    'Epoch of the platform in the view of published values.',
+                    lambda: self.published_state.as_of.epoch,
                 ),
                 'published_age_seconds': (
                     'Age of the view of published values.',
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/following.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/following.py
@@ -23,11 +23,15 @@
         source,
         published_state,
         metrics,
+        ask_peers,
         choose_read_pause_s,
         choose_long_poll_s,
     ):
         """Prepare to read.
 
+        ``ask_peers()`` copies the view of a peer, if one soon answers. It is
+        called before the first read, because the platform may have been
+        restored from an older copy, and peers know what was in force before.
         ``choose_read_pause_s()`` returns the pause in seconds between a
         change and the next read, ``choose_long_poll_s()`` how many seconds a
         read waits for a change.
@@ -35,6 +39,7 @@
         self._source = source
         self._published_state = published_state
         self._metrics = metrics
+        self._ask_peers = ask_peers
         self._choose_read_pause_s = choose_read_pause_s
         self._choose_long_poll_s = choose_long_poll_s
         self._long_poll_scope = None
@@ -43,6 +48,8 @@
 
     async def run(self):
         """Read until cancelled."""
+        if self._published_state.as_of == models.NO_REVISION:
+            await self._ask_peers()
         while True:
             try:
                 reading = await self._read()
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/metrics.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/metrics.py
@@ -55,6 +55,11 @@
             registry=registry,
         )
 
+        self._restored_platforms = prometheus_client.Counter(
+            'savoryyoke_gateway_platform_restores',
+            'Restorations of the platform from an older copy.',
+            registry=registry,
+        )
         self._crashes = prometheus_client.Counter(
             'savoryyoke_gateway_target_crashes',
             'Crashes of targets that this entry had requests at.',
@@ -85,6 +90,10 @@
             registry=registry,
         )
 
+    def count_restored_platform(self):
+        """Count one restoration of the platform from an older copy."""
+        self._restored_platforms.inc()
+
     def count_notice(self, kind):
         """Count a notice; ``kind`` is ``leaving`` or ``paused``."""
         self._notices.labels(kind).inc()
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/peering.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/peering.py
@@ -1,4 +1,4 @@
-"""Exchange heartbeats and copies of the published values with peers."""
+"""Exchange heartbeats with peers."""
 
 import dataclasses
 import itertools
@@ -13,8 +13,7 @@
 from savoryyoke.peers import table
 
 from savoryyoke_edge import logs
-from savoryyoke_edge import snapshots
-from savoryyoke_gateway import conf
+from savoryyoke_gateway import copying
 from savoryyoke_wire import exceptions as wire_exceptions
 from savoryyoke_wire import fleet
 from savoryyoke_wire import group as wire_group
@@ -31,13 +30,14 @@
 
 
 class Peering:
-    """Own the sockets to the other entries and the table of peers.
+    """Own the sockets for heartbeats and the table of peers.
 
     ``get_entry_state()`` returns whether this entry is ready, whether it is
     leaving, and its requests in flight by target id.
     ``choose_read_pause_s()`` returns the pause in seconds between a change
     and the next read of the platform. ``restart_long_poll()`` cancels a
-    long poll of the platform and returns whether there was one.
+    long poll of the platform and returns whether there was one. ``copies``
+    exchanges whole views of the published values with peers.
     """
 
     def __init__(
@@ -58,13 +58,9 @@
         self._dispatching = dispatching
         self._suspects = suspects
         self._get_entry_state = get_entry_state
-        self._choose_read_pause_s = choose_read_pause_s
-        self._restart_long_poll = restart_long_poll
-        self._has_restarted_poll = False
         self._clock = clock
         self._incarnation = int(random_fraction() * 2**63)
         self._sequence = itertools.count(1)
-        self._behind_since_s = None
         self._live_peer_ids = set()
         self._slow_targets = slow_targets.SlowTargets()
         self._pacing = pacing.HeartbeatPacing()
@@ -75,6 +71,15 @@
             own_host=settings.peer_host,
             seed_hosts=settings.seed_hosts,
         )
+        self.copies = copying.ViewCopies(
+            settings=settings,
+            published_state=published_state,
+            table=self.table,
+            choose_read_pause_s=choose_read_pause_s,
+            restart_long_poll=restart_long_poll,
+            random_fraction=random_fraction,
+            clock=clock,
+        )
 
     def serving_addresses(self):
         """Return the addresses of the peers that accept requests."""
@@ -86,8 +91,7 @@
         async with anyio.create_task_group() as group:
             group.start_soon(self._exchange_heartbeats)
             group.start_soon(self._receive_paces)
-            group.start_soon(self._serve_copies)
-            group.start_soon(self._copy_when_behind)
+            group.start_soon(self.copies.run)
 
     async def announce(self):
         """Send a heartbeat to all contact hosts immediately."""
@@ -186,6 +190,7 @@
             is_ready=is_ready,
             is_leaving=is_leaving,
             published_as_of=self._published_state.as_of,
+            configuration_version=self._published_state.configuration_version,
             in_flight=tuple(
                 messages.InFlight(target_id=target_id, requests=requests)
                 for target_id, requests in in_flight.items()
@@ -279,54 +284,3 @@
         self._dispatching.set_paces(
             self._slow_targets.paces(now_s=self._clock())
         )
-
-    async def _serve_copies(self):
-        listener = await anyio.create_tcp_listener(
-            local_host=self._settings.peer_host,
-            local_port=self._settings.peer_port,
-            family=socket.AF_INET,
-            reuse_port=False,
-        )
-        async with listener:
-            await listener.serve(self._serve_snapshot)
-
-    async def _serve_snapshot(self, stream):
-        await snapshots.send_snapshot(
-            stream, self._published_state.take_snapshot()
-        )
-
-    async def _copy_when_behind(self):
-        while True:
-            await anyio.sleep(conf.PEER_COPY_DELAY_S / 3)
-            host = table.find_newer_view(
-                self.table.alive(now_s=self._clock()),
-                as_of=self._published_state.as_of,
-            )
-            if host is None:
-                self._behind_since_s = None
-                self._has_restarted_poll = False
-                continue
-            if self._behind_since_s is None:
-                self._behind_since_s = self._clock()
-            behind_s = self._clock() - self._behind_since_s
-            copy_delay_s = conf.PEER_COPY_DELAY_S + self._choose_read_pause_s()
-            if behind_s < copy_delay_s:
-                continue
-            if not self._has_restarted_poll and self._restart_long_poll():
-                self._has_restarted_poll = True
-                self._behind_since_s += conf.PEER_COPY_DELAY_S
-                logs.write_event('reading_renewed', newer_at=host)
-                continue
-            await self._copy_from(host)
-
-    async def _copy_from(self, host):
-        try:
-            snapshot = await snapshots.fetch_snapshot(
-                host, self._settings.peer_port
-            )
-        except snapshots.SnapshotUnavailable as error:
-            logs.write_event(
-                'copy_failed', level='warning', host=host, reason=str(error)
-            )
-            return
-        self._published_state.apply(snapshot, source=host)
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/ports.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/ports.py
@@ -5,6 +5,7 @@
 
 from savoryyoke.catalogue import models as catalogue_models
 from savoryyoke.placement import models as placement_models
+from savoryyoke.published import holds
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -26,7 +27,8 @@
     receives reports about slow targets. In the time window of the retry
     limit, all entries together may send ``retry_ratio`` repeated tries per
     request and ``retry_slack`` more. ``grace_s`` is the time in seconds
-    between the signal to stop and the kill.
+    between the signal to stop and the kill. ``hold_times`` says how long
+    published values outlast a platform that was restored without them.
     """
 
     vm_id: str
@@ -42,6 +44,7 @@
     grace_s: float
     retry_ratio: float
     retry_slack: float
+    hold_times: holds.HoldTimes
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -73,7 +76,7 @@
 
     Both methods raise ``SourceUnavailable`` if the source can't be read.
     ``read_changes`` raises ``HistoryLost`` if the source no longer has all
-    changes since ``after``.
+    changes since ``after``, or if it has begun another epoch.
     """
 
     async def read_snapshot(self):
@@ -95,6 +98,12 @@
     def is_leased(self, key):
         """Return whether the item of ``key`` has a lease that can expire."""
 
+    def read_version(self, item):
+        """Return a tuple that grows with the versions of an item's content.
+
+        Return None for content without a version.
+        """
+
 
 class Translator(typing.Protocol):
     """Translate between HTTP messages and the gateway's classes."""
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/published_state.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/published_state.py
@@ -3,6 +3,8 @@
 import dataclasses
 
 from savoryyoke.placement import addresses
+from savoryyoke.published import holds
+from savoryyoke.published import models
 from savoryyoke.published import view
 
 from savoryyoke_edge import logs
@@ -13,7 +15,7 @@
 class ViewStamp:
     """Hold the revision of the published values and their age in seconds."""
 
-    as_of: int
+    as_of: models.Revision
     age_s: float | None
 
 
@@ -22,14 +24,22 @@
 
     ``publication`` is its content in decoded form; ``on_change`` is called
     with the new ``Publication`` after each change. While the published
-    catalogue is unusable, the last usable one stays in force.
+    catalogue is unusable, the last usable one stays in force. ``hold_times``
+    is a ``HoldTimes``.
     """
 
-    def __init__(self, *, interpreter, clock, on_change):
+    def __init__(self, *, interpreter, hold_times, metrics, clock, on_change):
         self._interpreter = interpreter
+        self._metrics = metrics
         self._clock = clock
         self._on_change = on_change
-        self._view = view.PublishedView(is_leased=interpreter.is_leased)
+        self._view = view.PublishedView(
+            order=holds.ItemOrder(
+                is_leased=interpreter.is_leased,
+                read_version=interpreter.read_version,
+                hold_times=hold_times,
+            )
+        )
         self._reported_faults = frozenset()
         self.publication = ports.Publication(
             catalogue=None,
@@ -48,6 +58,11 @@
         """Return the catalogue in force, or None if there was none yet."""
         return self.publication.catalogue
 
+    @property
+    def configuration_version(self):
+        """Return the version of the configuration in force, 0 without one."""
+        return self.catalogue.version if self.catalogue else 0
+
     def stamp(self):
         """Return the revision and age of the view."""
         age_s = self._view.age_s(now_s=self._clock())
@@ -55,7 +70,7 @@
 
     def take_snapshot(self):
         """Return a snapshot of the whole view, for a peer."""
-        return self._view.take_snapshot()
+        return self._view.take_snapshot(now_s=self._clock())
 
     def apply(self, reading, *, source, after_outage=False):
         """Apply a reading, which is a ``Snapshot`` or ``Changes``.
@@ -63,9 +78,13 @@
         ``source`` names its origin, for the log. ``after_outage`` is true
         for the first successful reading after failed ones.
         """
-        if self._view.apply(
+        previous_as_of = self.as_of
+        changed = self._view.apply(
             reading, now_s=self._clock(), after_outage=after_outage
-        ):
+        )
+        if previous_as_of < self.as_of:
+            self._note_epoch(previous_as_of, source)
+        if changed:
             self._interpret(source)
 
     def expire(self):
@@ -73,6 +92,23 @@
         if self._view.expire(now_s=self._clock()):
             self._interpret('lapse')
 
+    def _note_epoch(self, previous_as_of, source):
+        """Log and count a platform that was restored from an older copy."""
+        if previous_as_of == models.NO_REVISION:
+            return
+        if previous_as_of.epoch == self.as_of.epoch:
+            return
+        self._metrics.count_restored_platform()
+        logs.write_event(
+            'store_restored',
+            level='warning',
+            previous=previous_as_of,
+            as_of=self.as_of,
+            source=source,
+            kept=self._view.held_count,
+            configuration=self.configuration_version,
+        )
+
     def _interpret(self, source):
         publication = self._interpreter.interpret(self._view.items_by_key)
         previous = self.publication
--- a/packages/savoryyoke-gateway/tests/test_following.py
+++ b/packages/savoryyoke-gateway/tests/test_following.py
@@ -3,6 +3,7 @@
 import unittest
 
 import anyio
+import anyio.lowlevel
 import prometheus_client
 
 from savoryyoke.published import conf as published_conf
@@ -20,20 +21,24 @@
         self.waits_s = []
 
     async def read_snapshot(self):
-        return models.Snapshot(as_of=1, items=())
+        return models.Snapshot(as_of=models.Revision(number=1), items=())
 
     async def read_changes(self, *, after, wait_s):
         self.waits_s.append(wait_s)
         if self.is_silent:
             await anyio.sleep_forever()
-        return models.Changes(as_of=after + 1, items=(), removed_keys=())
+        return models.Changes(
+            as_of=models.Revision(number=after.number + 1),
+            items=(),
+            removed_keys=(),
+        )
 
 
 class FakePublishedState:
     """Replace the published values of an entry."""
 
     def __init__(self):
-        self.as_of = 0
+        self.as_of = models.NO_REVISION
 
     def apply(self, reading, *, source, after_outage):
         self.as_of = max(self.as_of, reading.as_of)
@@ -54,6 +59,7 @@
                 metrics=metrics.GatewayMetrics(
                     registry=prometheus_client.CollectorRegistry()
                 ),
+                ask_peers=anyio.lowlevel.checkpoint,
                 choose_read_pause_s=lambda: 0.05,
                 choose_long_poll_s=lambda: wait_s,
             )
@@ -71,7 +77,7 @@
         async def scenario(follower, source, published_state):
             source.is_silent = False
             self.assertTrue(follower.restart_long_poll())
-            while published_state.as_of < 2:
+            while published_state.as_of.number < 2:
                 await anyio.sleep(0.01)
             self.assertGreaterEqual(len(source.waits_s), 2)
 
--- a/packages/savoryyoke-gateway/tests/test_reloading.py
+++ b/packages/savoryyoke-gateway/tests/test_reloading.py
@@ -3,6 +3,8 @@
 import dataclasses
 import unittest
 
+from savoryyoke.published import holds
+
 from savoryyoke_gateway import ports
 from savoryyoke_gateway import reloading
 
@@ -21,6 +23,7 @@
     grace_s=8.0,
     retry_ratio=0.2,
     retry_slack=92.0,
+    hold_times=holds.HoldTimes(leased_s=3.6, unversioned_s=10.0),
 )
 
 
--- a/packages/savoryyoke-soak/savoryyoke_soak/conf.py
+++ b/packages/savoryyoke-soak/savoryyoke_soak/conf.py
@@ -59,6 +59,11 @@
 CONFIGURATION_DELAY_S = 3.0
 DRAIN_DELAY_S = 3.0
 
+# A restored store is away for ``RESTORE_OUTAGE_S``. What it has lost is
+# written again ``REWRITE_DELAY_S`` later.
+RESTORE_OUTAGE_S = 0.4
+REWRITE_DELAY_S = 2.5
+
 # Extra time in all bounds: other load on the machine delays the processes.
 MACHINE_DELAY_S = 2.0
 # Time between two published versions of the configuration.
--- a/packages/savoryyoke-soak/savoryyoke_soak/faults.py
+++ b/packages/savoryyoke-soak/savoryyoke_soak/faults.py
@@ -12,6 +12,7 @@
     'store-error',
     'store-history',
     'store-garbage',
+    'store-restore',
 )
 TARGET_FAULTS = (
     'kill-target',
--- a/packages/savoryyoke-soak/savoryyoke_soak/fleet.py
+++ b/packages/savoryyoke-soak/savoryyoke_soak/fleet.py
@@ -89,6 +89,7 @@
             Target(number=number) for number in range(conf.REPLICAS)
         ]
         self.version = 0
+        self._configuration = None
 
     async def start(self):
         """Start the store, all targets and all entries.
@@ -112,12 +113,24 @@
         self.version += 1
         names = [kind.value for kind in records.Kind]
         names.extend(f'version-{number + 1}' for number in range(self.version))
-        configuration = published.build_configuration(
+        self._configuration = published.build_configuration(
             self.version, Routes=[_build_route(name) for name in names]
         )
-        self.store.write('op/config', configuration)
+        self.store.write('op/config', self._configuration)
         self._history.written_s_by_version[self.version] = time.monotonic()
 
+    def publish_all_again(self):
+        """Publish again what a restored store has lost."""
+        self.store.write('op/config', self._configuration)
+        live_keys = set()
+        for target in self.targets:
+            key = f'servers/{target.target_id}'
+            live_keys.add(key)
+            self.store.write(key, target.published_value)
+        for key in self.store.find_keys('servers/'):
+            if key not in live_keys:
+                self.store.remove(key)
+
     async def start_entry(self, entry):
         """Start an entry's process."""
         if entry.start_count == 0:
--- a/packages/savoryyoke-soak/savoryyoke_soak/mutants.py
+++ b/packages/savoryyoke-soak/savoryyoke_soak/mutants.py
@@ -10,7 +10,9 @@
 from savoryyoke.forwarding import framing
 from savoryyoke.forwarding import ledger
 from savoryyoke.placement import notices
+from savoryyoke.published import models
 from savoryyoke_gateway import callers
+from savoryyoke_gateway import copying
 from savoryyoke_gateway import dispatching
 from savoryyoke_gateway import following
 from savoryyoke_gateway import forwarder
@@ -67,13 +69,23 @@
     take_in = following.Follower._apply_reading
 
     def take_in_once(self, reading):
-        if not self._published_state.as_of:
+        if self._published_state.as_of == models.NO_REVISION:
             return take_in(self, reading)
         return False
 
     following.Follower._apply_reading = take_in_once
 
 
+def _trust_restored_store():
+    """Start with what the platform publishes, without asking peers."""
+
+    async def skip(self):
+        pass
+
+    copying.ViewCopies.copy_at_start = skip
+    copying.ViewCopies._copy = skip
+
+
 def _keep_leaving_targets():
     """Keep sending work to targets that are leaving."""
     original_publish = dispatching.Dispatching.update_targets
@@ -136,6 +148,7 @@
     'whole': _drop_events,
     'answered': _delay_answers,
     'configuration': _ignore_changes,
+    'restored': _trust_restored_store,
     'leaving': _keep_leaving_targets,
     'announced': _ignore_notices,
     'paused': _ignore_pauses,
--- a/packages/savoryyoke-soak/savoryyoke_soak/promises.py
+++ b/packages/savoryyoke-soak/savoryyoke_soak/promises.py
@@ -139,6 +139,43 @@
             )
 
 
+def _check_restored(history):
+    """Check that no entry uses a configuration older than the accepted one.
+
+    It may not do so while the restored store lacks the accepted one, provided
+    that an entry which had it in force runs all the while.
+    """
+    for restore in history.restores:
+        for probe in history.probes:
+            if (
+                probe.in_force
+                or probe.version < restore.first_lost_version
+                or not restore.restored_s < probe.at_s < restore.rewritten_s
+            ):
+                continue
+            if _has_witness(history, probe, restore):
+                yield Breach(
+                    promise='restored',
+                    evidence=(
+                        f'{probe.incarnation} uses a configuration without'
+                        f' version {probe.version}'
+                    ),
+                )
+
+
+def _has_witness(history, probe, restore):
+    """Return whether a running entry had the probed version in force."""
+    return any(
+        other_probe.in_force
+        and other_probe.version == probe.version
+        and other_probe.at_s < restore.lost_s
+        and not _has_trouble(
+            history, other_probe.incarnation, other_probe.at_s, probe.at_s
+        )
+        for other_probe in history.probes
+    )
+
+
 def _may_lack_change(history, incarnation, from_s, until_s):
     """Return whether an entry may not have received a change."""
     return any(
@@ -300,6 +337,7 @@
     _check_whole,
     _check_answered,
     _check_configuration,
+    _check_restored,
     _check_leaving,
     _check_announced,
     _check_paused,
--- a/packages/savoryyoke-soak/savoryyoke_soak/records.py
+++ b/packages/savoryyoke-soak/savoryyoke_soak/records.py
@@ -95,6 +95,21 @@
     duration_s: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Restore:
+    """Hold when the store came back from an older copy.
+
+    It was lost at ``lost_s`` with all configuration versions from
+    ``first_lost_version`` on, and what it lacked was written again at
+    ``rewritten_s``.
+    """
+
+    first_lost_version: int
+    lost_s: float
+    restored_s: float
+    rewritten_s: float
+
+
 @dataclasses.dataclass(kw_only=True)
 class History:
     """Hold all observations of one run of the soak.
@@ -108,6 +123,7 @@
     probes: list[Probe] = dataclasses.field(default_factory=list)
     troubles: list[Trouble] = dataclasses.field(default_factory=list)
     stops: list[Stop] = dataclasses.field(default_factory=list)
+    restores: list[Restore] = dataclasses.field(default_factory=list)
     started_s_by_incarnation: dict = dataclasses.field(default_factory=dict)
     written_s_by_version: dict = dataclasses.field(default_factory=dict)
     draining_s_by_target: dict = dataclasses.field(default_factory=dict)
--- a/packages/savoryyoke-soak/savoryyoke_soak/runner.py
+++ b/packages/savoryyoke-soak/savoryyoke_soak/runner.py
@@ -71,6 +71,8 @@
         # The newest configuration version that a probe found in force.
         self._in_force_by_incarnation = {}
         self._fleet = None
+        # While the store lacks what it has lost, nothing new is published.
+        self._restores_running = 0
 
     async def run(self):
         """Run the fleet, check the promises and return the ``Outcome``."""
@@ -124,7 +126,8 @@
     async def _change_configuration(self, stopped):
         while not stopped.is_set():
             await anyio.sleep(conf.CONFIGURATION_GAP_S)
-            self._fleet.publish_configuration()
+            if not self._restores_running:
+                self._fleet.publish_configuration()
 
     async def _probe(self, stopped):
         """Probe the configuration of each running entry repeatedly."""
@@ -276,6 +279,31 @@
     async def _drop_store_history(self, fault):
         self._fleet.store.forget_history()
 
+    async def _restore_store(self, fault):
+        """Replace the store by a copy that is ``for_s`` old."""
+        store = self._fleet.store
+        copy, version = store.copy(), self._fleet.version
+        await anyio.sleep(fault.for_s)
+        lost_s = time.monotonic()
+        self._restores_running += 1
+        store.status = 503
+        await anyio.sleep(conf.RESTORE_OUTAGE_S)
+        store.restore(copy)
+        store.status = None
+        restored_s = time.monotonic()
+        await anyio.sleep(conf.REWRITE_DELAY_S)
+        self._fleet.publish_all_again()
+        self._restores_running -= 1
+        self.record_trouble('store-restored', 'store', lost_s)
+        self._history.restores.append(
+            records.Restore(
+                first_lost_version=version + 1,
+                lost_s=lost_s,
+                restored_s=restored_s,
+                rewritten_s=time.monotonic(),
+            )
+        )
+
     async def _send_store_garbage(self, fault):
         self._fleet.store.garbage = b'{"AsOf": '
 
@@ -387,6 +415,7 @@
     'store-error': Soak._fail_store,
     'store-history': Soak._drop_store_history,
     'store-garbage': Soak._send_store_garbage,
+    'store-restore': Soak._restore_store,
     'fatal-request': Soak._send_fatal_request,
     'kill-target': _target_fault(Soak._kill_target),
     'freeze-target': _target_fault(Soak._freeze_target),
--- a/packages/savoryyoke-soak/tests/test_soak.py
+++ b/packages/savoryyoke-soak/tests/test_soak.py
@@ -25,6 +25,10 @@
 FAULTS_BY_PROMISE = {
     'once': RESETS,
     'not-run': RESETS,
+    'restored': (
+        build_fault('store-restore', at_s=0.1, for_s=4.0),
+        build_fault('kill', at_s=3.6, for_s=0.6),
+    ),
     'leaving': (build_fault('drain-target'),),
     'announced': (build_fault('leaving-target', at_s=0.2),),
     'paused': tuple(
--- a/packages/savoryyoke-wire/savoryyoke_wire/fleet.capnp
+++ b/packages/savoryyoke-wire/savoryyoke_wire/fleet.capnp
@@ -42,16 +42,29 @@
   evidenceDigest @13 :UInt64;
   crashes @14 :List(Crash);
   leavingTargets @15 :List(LeavingTarget);
+  # Absent in messages of older builds, which read as the first epoch.
+  publishedEpoch @16 :UInt64;
+  configurationVersion @17 :Int64;
 }
 
 struct Item {
   key @0 :Text;
   revision @1 :UInt64;
   value @2 :Data;
+  epoch @3 :UInt64;
+}
+
+struct Hold {
+  key @0 :Text;
+  remainingS @1 :Float64;
+  # A null pointer if the platform lacks the key.
+  overruled @2 :Item;
 }
 
 struct Snapshot {
   version @0 :UInt16;
   asOf @1 :UInt64;
   items @2 :List(Item);
+  epoch @3 :UInt64;
+  holds @4 :List(Hold);
 }
--- a/packages/savoryyoke-wire/savoryyoke_wire/fleet.py
+++ b/packages/savoryyoke-wire/savoryyoke_wire/fleet.py
@@ -31,7 +31,9 @@
         dataCentre=heartbeat.data_centre,
         isReady=heartbeat.is_ready,
         isLeaving=heartbeat.is_leaving,
-        publishedAsOf=heartbeat.published_as_of,
+        publishedAsOf=heartbeat.published_as_of.number,
+        publishedEpoch=heartbeat.published_as_of.epoch,
+        configurationVersion=heartbeat.configuration_version,
         contactHosts=list(heartbeat.contact_hosts),
         evidenceDigest=heartbeat.evidence_digest,
     )
@@ -83,7 +85,10 @@
             data_centre=message.dataCentre,
             is_ready=message.isReady,
             is_leaving=message.isLeaving,
-            published_as_of=message.publishedAsOf,
+            published_as_of=models.Revision(
+                epoch=message.publishedEpoch, number=message.publishedAsOf
+            ),
+            configuration_version=message.configurationVersion,
             in_flight=tuple(
                 messages.InFlight(
                     target_id=count.targetId, requests=count.requests
@@ -113,13 +118,19 @@
 def encode_snapshot(snapshot):
     """Return the packed bytes of a snapshot of the published values."""
     message = _SCHEMA.Snapshot.new_message(
-        version=conf.FLEET_VERSION, asOf=snapshot.as_of
+        version=conf.FLEET_VERSION,
+        asOf=snapshot.as_of.number,
+        epoch=snapshot.as_of.epoch,
     )
     items = message.init('items', len(snapshot.items))
     for item, published in zip(items, snapshot.items, strict=True):
-        item.key = published.key
-        item.revision = published.revision
-        item.value = published.value
+        _write_item(item, published)
+    holds = message.init('holds', len(snapshot.holds))
+    for item, hold in zip(holds, snapshot.holds, strict=True):
+        item.key = hold.key
+        item.remainingS = hold.remaining_s
+        if hold.overruled is not None:
+            _write_item(item.init('overruled'), hold.overruled)
     return message.to_bytes_packed()
 
 
@@ -131,18 +142,40 @@
     message = _read(_SCHEMA.Snapshot, packed)
     try:
         return models.Snapshot(
-            as_of=message.asOf,
-            items=tuple(
-                models.Item(
-                    key=item.key, revision=item.revision, value=item.value
+            as_of=models.Revision(epoch=message.epoch, number=message.asOf),
+            items=tuple(_read_item(item) for item in message.items),
+            holds=tuple(
+                models.Hold(
+                    key=hold.key,
+                    remaining_s=hold.remainingS,
+                    overruled=(
+                        _read_item(hold.overruled)
+                        if hold._has('overruled')
+                        else None
+                    ),
                 )
-                for item in message.items
+                for hold in message.holds
             ),
         )
     except (capnp.KjException, UnicodeDecodeError) as error:
         raise _build_malformed_error(error) from error
 
 
+def _write_item(message, item):
+    message.key = item.key
+    message.revision = item.revision.number
+    message.epoch = item.revision.epoch
+    message.value = item.value
+
+
+def _read_item(message):
+    return models.Item(
+        key=message.key,
+        revision=models.Revision(epoch=message.epoch, number=message.revision),
+        value=message.value,
+    )
+
+
 def _read_crash(message):
     return evidence.CrashReport(
         crash_id=message.crashId,
--- a/packages/savoryyoke-wire/tests/test_fleet.py
+++ b/packages/savoryyoke-wire/tests/test_fleet.py
@@ -1,5 +1,6 @@
 """Test the encoding of heartbeats and snapshots."""
 
+import math
 import unittest
 
 from savoryyoke.peers import messages
@@ -20,7 +21,8 @@
     data_centre='dc-a',
     is_ready=True,
     is_leaving=False,
-    published_as_of=29,
+    published_as_of=models.Revision(epoch=3, number=29),
+    configuration_version=14,
     in_flight=(messages.InFlight(target_id='t1', requests=3),),
     contact_hosts=('10.0.0.2', '10.0.0.3'),
     leaving_targets=(
@@ -37,9 +39,15 @@
         ),
     ),
 )
+REVISION = models.Revision(epoch=2, number=4)
+ITEM = models.Item(key='a', revision=REVISION, value=b'\x00\xff')
 SNAPSHOT = models.Snapshot(
-    as_of=9,
-    items=(models.Item(key='a', revision=4, value=b'\x00\xff'),),
+    as_of=models.Revision(epoch=3, number=9),
+    items=(ITEM,),
+    holds=(
+        models.Hold(key='a', remaining_s=math.inf, overruled=ITEM),
+        models.Hold(key='b', remaining_s=1.5, overruled=None),
+    ),
 )
 
 
--- a/packages/savoryyoke/savoryyoke/peers/messages.py
+++ b/packages/savoryyoke/savoryyoke/peers/messages.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from savoryyoke.placement import notices
+from savoryyoke.published import models as published_models
 from savoryyoke.quarantine import evidence
 
 
@@ -29,12 +30,13 @@
     ``incarnation`` is a random number chosen at each start, and ``sequence``
     grows with each heartbeat. ``caller_address`` is the address to which
     callers connect. ``published_as_of`` is the revision of the entry's view of
-    published values. ``contact_hosts`` are hosts of entries from which it
-    receives heartbeats. ``slow_targets`` are the targets whose own VMs have
-    reported to it that they are slow. ``leaving_targets`` are the targets that
-    have announced to it that they leave. ``evidence_digest`` is a digest of
-    its crash reports, and ``crashes`` are the reports that another entry seems
-    to lack.
+    published values, and ``configuration_version`` the version of the
+    configuration in force, 0 without one. ``contact_hosts`` are hosts of
+    entries from which it receives heartbeats. ``slow_targets`` are the targets
+    whose own VMs have reported to it that they are slow. ``leaving_targets``
+    are the targets that have announced to it that they leave.
+    ``evidence_digest`` is a digest of its crash reports, and ``crashes`` are
+    the reports that another entry seems to lack.
     """
 
     sender_id: str
@@ -45,10 +47,11 @@
     data_centre: str
     is_ready: bool
     is_leaving: bool
-    published_as_of: int
+    published_as_of: published_models.Revision
     in_flight: tuple[InFlight, ...]
     contact_hosts: tuple[str, ...]
     slow_targets: tuple[SlowTarget, ...] = ()
     leaving_targets: tuple[notices.LeavingTarget, ...] = ()
     evidence_digest: int = 0
     crashes: tuple[evidence.CrashReport, ...] = ()
+    configuration_version: int = 0
--- a/packages/savoryyoke/savoryyoke/peers/table.py
+++ b/packages/savoryyoke/savoryyoke/peers/table.py
@@ -115,16 +115,29 @@
     ]
 
 
-def find_newer_view(heartbeats, *, as_of):
-    """Return the host of the peer whose view has the highest revision.
+def find_newer_view(heartbeats, *, as_of, configuration_version):
+    """Return the heartbeat of the peer with the newest view.
 
-    Return None if that revision is not above ``as_of``.
+    Return None if neither its revision is above ``as_of`` nor its
+    configuration's version above ``configuration_version``. The platform may
+    publish an older configuration than the one in force, after it was restored
+    from a copy.
     """
     newest = max(
         heartbeats,
-        key=lambda heartbeat: heartbeat.published_as_of,
+        key=lambda heartbeat: (
+            heartbeat.published_as_of,
+            heartbeat.configuration_version,
+        ),
         default=None,
     )
-    if newest is None or newest.published_as_of <= as_of:
+    if newest is not None and newest.published_as_of > as_of:
+        return newest
+    newest = max(
+        heartbeats,
+        key=lambda heartbeat: heartbeat.configuration_version,
+        default=None,
+    )
+    if newest is None or newest.configuration_version <= configuration_version:
         return None
-    return newest.sender_host
+    return newest
--- a/packages/savoryyoke/savoryyoke/placement/models.py
+++ b/packages/savoryyoke/savoryyoke/placement/models.py
@@ -3,6 +3,8 @@
 import dataclasses
 import enum
 
+from savoryyoke.published import models as published_models
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Target:
@@ -25,7 +27,7 @@
     slots: int
     is_draining: bool
     is_in_service: bool
-    revision: int = 0
+    revision: published_models.Revision = published_models.NO_REVISION
     release: str = ''
 
 
--- a/packages/savoryyoke/savoryyoke/published/conf.py
+++ b/packages/savoryyoke/savoryyoke/published/conf.py
@@ -5,6 +5,10 @@
 # seconds of its end.
 LEASE_GRACE_S = 2.0
 
+# Removed items are remembered for this time, to recognise them in an older
+# copy from which the platform is restored. Such copies are some seconds old.
+REMOVAL_MEMORY_S = 60.0
+
 # An entry is one instance of the load balancer; the entries form a fleet. If
 # 43 entries read each of three changes per second separately, they make 130
 # calls per second to the platform. With this pause after each change, a larger
--- a/packages/savoryyoke/savoryyoke/published/models.py
+++ b/packages/savoryyoke/savoryyoke/published/models.py
@@ -2,28 +2,83 @@
 
 import dataclasses
 
+# Epoch of a platform that doesn't report one.
+FIRST_EPOCH = 0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, order=True)
+class Revision:
+    """Identify a state of the platform; revisions are ordered by age.
+
+    ``number`` grows with each change within an ``epoch``. A platform that is
+    restored from an older copy begins a new epoch, in which it uses numbers
+    again for other changes.
+    """
+
+    epoch: int = FIRST_EPOCH
+    number: int
+
+    def __str__(self):
+        return f'{self.epoch}.{self.number}'
+
+
+# Revision of a view without any reading.
+NO_REVISION = Revision(number=0)
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Item:
     """Hold one published value and the revision of its last change."""
 
     key: str
-    revision: int
+    revision: Revision
     value: bytes
 
+    def is_same_write(self, other):
+        """Return whether both items are from one write.
+
+        A platform that was restored from a copy returns the items in it with
+        their numbers, but in a new epoch.
+        """
+        return (
+            self.revision.number == other.revision.number
+            and self.value == other.value
+        )
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Hold:
+    """Report that a view overrules the restored platform for a key.
+
+    The view keeps its item, or the removal of the key if it has no item, for
+    another ``remaining_s`` seconds. ``overruled`` is the platform's item, or
+    None if the platform lacks the key.
+    """
+
+    key: str
+    remaining_s: float
+    overruled: Item | None
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Snapshot:
-    """Hold all published values as of a revision."""
+    """Hold all published values as of a revision.
 
-    as_of: int
+    ``holds`` are those of the peer that sent the snapshot.
+    """
+
+    as_of: Revision
     items: tuple[Item, ...]
+    holds: tuple[Hold, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Changes:
-    """Hold the changes since an earlier revision, up to ``as_of``."""
+    """Hold the changes since an earlier revision, up to ``as_of``.
+
+    Both revisions are of the same epoch.
+    """
 
-    as_of: int
+    as_of: Revision
     items: tuple[Item, ...]
     removed_keys: tuple[str, ...]
--- a/packages/savoryyoke/tests/peers/test_pacing.py
+++ b/packages/savoryyoke/tests/peers/test_pacing.py
@@ -8,11 +8,17 @@
 from savoryyoke.peers import pacing
 from savoryyoke.peers import table
 
+from savoryyoke.published import models
+
 from tests.peers import test_table
 
 HOSTS = ('10.0.0.2', '10.0.0.3')
 
 
+def build_revision(number):
+    return models.Revision(number=number)
+
+
 class HeartbeatPacingTests(unittest.TestCase):
     def setUp(self):
         self.pacing = pacing.HeartbeatPacing()
@@ -36,7 +42,8 @@
             {'in_flight': (messages.InFlight(target_id='t', requests=1),)},
             {'is_ready': False},
             {'is_leaving': True},
-            {'published_as_of': 2},
+            {'published_as_of': build_revision(2)},
+            {'configuration_version': 2},
             {'slow_targets': (messages.SlowTarget(address='a', pace=2.0),)},
         )
         for change in changes:
@@ -49,10 +56,10 @@
 
     def test_unchanged_contacts_are_not_sent_for_a_while(self):
         self.select(0.0)
-        sent_heartbeat = self.select(0.1, published_as_of=2)
+        sent_heartbeat = self.select(0.1, published_as_of=build_revision(2))
         self.assertEqual((), sent_heartbeat.contact_hosts)
         sent_heartbeat = self.select(
-            conf.CONTACTS_INTERVAL_S, published_as_of=3
+            conf.CONTACTS_INTERVAL_S, published_as_of=build_revision(3)
         )
         self.assertEqual(HOSTS, sent_heartbeat.contact_hosts)
 
--- a/packages/savoryyoke/tests/peers/test_table.py
+++ b/packages/savoryyoke/tests/peers/test_table.py
@@ -6,6 +6,7 @@
 from savoryyoke.peers import messages
 from savoryyoke.peers import slow_targets
 from savoryyoke.peers import table
+from savoryyoke.published import models
 
 
 def build_heartbeat(number, *, sequence=1, incarnation=1, **changes):
@@ -18,7 +19,7 @@
         'data_centre': 'dc',
         'is_ready': True,
         'is_leaving': False,
-        'published_as_of': 1,
+        'published_as_of': models.Revision(number=1),
         'in_flight': (),
         'contact_hosts': (),
     }
@@ -117,12 +118,37 @@
 
 
 class NewerViewTests(unittest.TestCase):
+    def find(self, heartbeats, *, number, epoch=0, version=0):
+        """Return the host of the peer with the newest view, or None."""
+        heartbeat = table.find_newer_view(
+            heartbeats,
+            as_of=models.Revision(epoch=epoch, number=number),
+            configuration_version=version,
+        )
+        return heartbeat and heartbeat.sender_host
+
     def test_finds_the_newest_view_above_the_own_one(self):
         heartbeats = [
-            build_heartbeat(2, published_as_of=7),
+            build_heartbeat(2, published_as_of=models.Revision(number=7)),
             build_heartbeat(3),
         ]
-        find = table.find_newer_view
-        self.assertEqual('10.0.0.2', find(heartbeats, as_of=6))
-        self.assertIsNone(find(heartbeats, as_of=7))
-        self.assertIsNone(find([], as_of=0))
+        self.assertEqual('10.0.0.2', self.find(heartbeats, number=6))
+        self.assertIsNone(self.find(heartbeats, number=7))
+        self.assertIsNone(self.find([], number=0))
+
+    def test_newer_epoch_precedes_a_higher_number(self):
+        heartbeats = [
+            build_heartbeat(2, published_as_of=models.Revision(number=90)),
+            build_heartbeat(
+                3, published_as_of=models.Revision(epoch=1, number=60)
+            ),
+        ]
+        self.assertEqual('10.0.0.3', self.find(heartbeats, number=90))
+        self.assertIsNone(self.find(heartbeats, epoch=1, number=60))
+
+    def test_finds_a_newer_configuration_at_an_equal_revision(self):
+        heartbeats = [build_heartbeat(2, configuration_version=14)]
+        self.assertEqual(
+            '10.0.0.2', self.find(heartbeats, number=1, version=12)
+        )
+        self.assertIsNone(self.find(heartbeats, number=1, version=14))
--- a/packages/savoryyoke/tests/placement/test_addresses.py
+++ b/packages/savoryyoke/tests/placement/test_addresses.py
@@ -3,14 +3,18 @@
 import unittest
 
 from savoryyoke.placement import addresses
+from savoryyoke.published import models
 
 from tests.placement import test_dispatcher
 
 
-def build(name, *, revision, number=1):
+def build(name, *, revision, epoch=0, number=1, **changes):
     """Return a target called ``name`` at the address with ``number``."""
     return test_dispatcher.build_target(
-        number, target_id=name, revision=revision
+        number,
+        target_id=name,
+        revision=models.Revision(epoch=epoch, number=revision),
+        **changes,
     )
 
 
@@ -29,7 +33,9 @@
 
     def test_address_may_be_reassigned_to_another_service(self):
         older = build('a', revision=5)
-        newer = test_dispatcher.build_target(
-            1, target_id='b', service_name='other', revision=9
-        )
+        newer = build('b', revision=9, service_name='other')
+        self.assertEqual((newer,), addresses.drop_replaced((older, newer)))
+
+    def test_target_of_a_newer_epoch_stays(self):
+        older, newer = build('a', revision=9), build('b', revision=5, epoch=1)
         self.assertEqual((newer,), addresses.drop_replaced((older, newer)))
--- a/packages/savoryyoke/tests/published/test_view.py
+++ b/packages/savoryyoke/tests/published/test_view.py
@@ -3,31 +3,50 @@
 import unittest
 
 from savoryyoke.published import conf
+from savoryyoke.published import holds
 from savoryyoke.published import models
 from savoryyoke.published import view
 
 
+def build_revision(number):
+    return models.Revision(number=number)
+
+
 def build_item(key, revision):
-    return models.Item(key=key, revision=revision, value=b'%d' % revision)
+    return models.Item(
+        key=key, revision=build_revision(revision), value=b'%d' % revision
+    )
+
+
+def build_view():
+    """Return a view whose leased items have no versions."""
+    order = holds.ItemOrder(
+        is_leased=lambda key: key != 'config',
+        read_version=lambda item: None,
+        hold_times=holds.HoldTimes(leased_s=3.6, unversioned_s=10.0),
+    )
+    return view.PublishedView(order=order)
 
 
 def build_snapshot(as_of, **revisions_by_key):
     items = tuple(
         build_item(key, revision) for key, revision in revisions_by_key.items()
     )
-    return models.Snapshot(as_of=as_of, items=items)
+    return models.Snapshot(as_of=build_revision(as_of), items=items)
 
 
 def build_changes(as_of, *removed_keys, **revisions_by_key):
     items = tuple(
         build_item(key, revision) for key, revision in revisions_by_key.items()
     )
-    return models.Changes(as_of=as_of, items=items, removed_keys=removed_keys)
+    return models.Changes(
+        as_of=build_revision(as_of), items=items, removed_keys=removed_keys
+    )
 
 
 class PublishedViewTests(unittest.TestCase):
     def setUp(self):
-        self.view = view.PublishedView(is_leased=lambda key: key != 'config')
+        self.view = build_view()
         self.view.apply(build_snapshot(5, config=3, t1=4, t2=5), now_s=0.0)
 
     def keys(self):
@@ -45,13 +64,17 @@
         self.assertFalse(
             self.view.apply(build_snapshot(4, config=2), now_s=1.0)
         )
-        self.assertEqual(3, self.view.items_by_key['config'].revision)
+        self.assertEqual(
+            build_revision(3), self.view.items_by_key['config'].revision
+        )
         self.assertEqual({'config', 't1', 't2'}, self.keys())
-        self.assertEqual(5, self.view.as_of)
+        self.assertEqual(build_revision(5), self.view.as_of)
 
     def test_older_item_in_a_newer_reading_has_no_effect(self):
         self.view.apply(build_snapshot(9, config=2, t1=4, t2=5), now_s=1.0)
-        self.assertEqual(3, self.view.items_by_key['config'].revision)
+        self.assertEqual(
+            build_revision(3), self.view.items_by_key['config'].revision
+        )
 
     def test_empty_changes_renew_the_age(self):
         self.assertFalse(self.view.apply(build_changes(5), now_s=3.0))
@@ -64,7 +87,7 @@
 
 class LeaseExpiryTests(unittest.TestCase):
     def setUp(self):
-        self.view = view.PublishedView(is_leased=lambda key: key != 'config')
+        self.view = build_view()
         self.view.apply(build_snapshot(5, config=3, t1=4, t2=5), now_s=0.0)
 
     def recover(self):
