Hold a group at a rank that a new leader can reach

Load: VMs of engine ranks that freeze while a map changes.

Cause: the leader's agent ordered the hold at its own engine. When its VM froze 4 ms later nobody could reach that engine: no pass for 4.2 s, 40 requests lost.

Ruled out: arming without a hold (a rank that missed its order begins the pass with the old map), a hold that the holding agent releases by itself (others may be armed by then), disarming (an order carried out late arms again).

Change: the leader orders the hold directly at another rank, whose agent has been told in PREPARE, and arms its own rank last. A change is abandoned if an agent is silent before the first rank is armed. While the group may be held a new leader is elected after 0.25 s; if only the former leader's rank is out of reach and no other rank is or may be armed, it releases the group. A leader that finds most agents silent gives no orders, as it was frozen itself.

Tests that failed first: rollout.test_rollout FrozenHolderTests (held 3.8 s, limit 0.8 s).

--- a/packages/savoryyoke-agent/savoryyoke_agent/daemon.py
+++ b/packages/savoryyoke-agent/savoryyoke_agent/daemon.py
@@ -14,6 +14,7 @@
 from savoryyoke.groups.rollout import blocks
 from savoryyoke.groups.rollout import conf as rollout_conf
 from savoryyoke.groups.rollout import decisions
+from savoryyoke.groups.rollout import elections
 from savoryyoke.groups.rollout import events
 from savoryyoke.groups.rollout import leader
 from savoryyoke.groups.rollout import models
@@ -211,6 +212,8 @@
             host=self._settings.own_host,
             state=self._agent.state,
             term=self._agent.term,
+            sequence=self._agent.sequence,
+            may_be_armed=self._agent.may_be_armed,
         )
 
     async def _lead(self):
@@ -235,16 +238,14 @@
         )
 
     def _become_leader_if_due(self):
-        """Become the leader after too long without a directive.
-
-        Higher ranks wait longer, so that not all become leaders at once.
-        """
+        """Become the leader after too long without a directive."""
         state = self._agent.state
-        wait_s = (
-            rollout_conf.ELECTION_TIMEOUT_S
-            + state.rank * rollout_conf.ELECTION_STAGGER_PER_RANK_S
+        delay_s = elections.choose_election_delay_s(
+            rank=state.rank,
+            phase=self._phase(),
+            repeat_interval_s=self._choose_repeat_interval_s(self._phase()),
         )
-        if self._clock() - self._last_directive_s < wait_s:
+        if self._clock() - self._last_directive_s < delay_s:
             return
         if not self._membership.other_hosts():
             return
@@ -544,6 +545,7 @@
     state = report.state
     return (
         report.term,
+        report.may_be_armed,
         state.epoch,
         state.is_open,
         state.active,
--- a/packages/savoryyoke-agent/tests/support.py
+++ b/packages/savoryyoke-agent/tests/support.py
@@ -23,7 +23,7 @@
     """Simulate the engines of a group, which run passes together.
 
     ``mixed_passes`` lists the passes in which ranks used different maps.
-    ``on_hold(rank)`` is called when a rank is ordered to hold the group.
+    ``on_hold(rank)`` is called when the agent of a rank orders a hold.
     ``most_chosen_expert`` is chosen 18 times as often as each other expert.
     """
 
@@ -85,8 +85,8 @@
             ),
         )
 
-    def execute(self, rank, order):
-        """Execute an order and return its result."""
+    def execute(self, rank, order, *, sender_rank):
+        """Execute an order of an agent and return its result."""
         match order:
             case decisions.Prepare(expert_map=expert_map):
                 self._experts_by_version[expert_map.version] = (
@@ -99,7 +99,7 @@
                 if step <= self.step:
                     return events.OrderResult.REFUSED
                 self.held[rank] = step
-                self.on_hold(rank)
+                self.on_hold(sender_rank)
             case decisions.Go():
                 self.held[rank] = None
         return events.OrderResult.DONE
@@ -140,7 +140,9 @@
 
     async def send_order(self, order, host=None):
         """Execute an order and return its result."""
-        return self._group.execute(self._find_rank(host), order)
+        return self._group.execute(
+            self._find_rank(host), order, sender_rank=self._rank
+        )
 
     def _find_rank(self, host):
         return self._rank if host is None else int(host[-1]) - 2
--- a/packages/savoryyoke-wire/savoryyoke_wire/group.capnp
+++ b/packages/savoryyoke-wire/savoryyoke_wire/group.capnp
@@ -52,6 +52,9 @@
   termNumber @11 :UInt64;
   termRank @12 :Int32;
   pace @13 :Float32;
+  # Absent in messages of older builds, which read as 0 and false.
+  sequence @14 :UInt64;
+  isSurelyUnarmed @15 :Bool;
 }
 
 # Counts as little-endian numbers of bytesEach bytes.
--- a/packages/savoryyoke-wire/savoryyoke_wire/group.py
+++ b/packages/savoryyoke-wire/savoryyoke_wire/group.py
@@ -167,6 +167,8 @@
     body.armed = _encode_optional(state.armed)
     body.held = _encode_optional(state.held)
     body.pace = state.pace
+    body.sequence = message.sequence
+    body.isSurelyUnarmed = not message.may_be_armed
     return _pack(envelope)
 
 
@@ -293,6 +295,8 @@
     return models.RankReport(
         host=body.host,
         term=models.Term(number=body.termNumber, rank=body.termRank),
+        sequence=body.sequence,
+        may_be_armed=not body.isSurelyUnarmed,
         state=models.EngineState(
             group=body.group,
             epoch=body.epoch,
--- a/packages/savoryyoke-wire/tests/test_group.py
+++ b/packages/savoryyoke-wire/tests/test_group.py
@@ -45,6 +45,31 @@
             build_directive(phase=models.Phase.PREPARE, version=70000)
         )
 
+    def test_reports(self):
+        state = models.EngineState(
+            group='g',
+            epoch=2,
+            rank=3,
+            ranks=12,
+            is_open=True,
+            step=900,
+            active=65000,
+            prepared=None,
+            armed=70000,
+            held=901,
+            pace=1.5,
+        )
+        for may_be_armed in (False, True):
+            self.assert_round_trip(
+                models.RankReport(
+                    host='10.0.0.2',
+                    state=state,
+                    term=TERM,
+                    sequence=17,
+                    may_be_armed=may_be_armed,
+                )
+            )
+
     def test_maps(self):
         expert_map = models.ExpertMap(
             version=70000, experts=(((0, 1), (2,)), ((2,), (1, 0)))
--- a/packages/savoryyoke/savoryyoke/groups/rollout/agent.py
+++ b/packages/savoryyoke/savoryyoke/groups/rollout/agent.py
@@ -4,6 +4,7 @@
 import functools
 
 from savoryyoke.groups import exceptions
+from savoryyoke.groups.rollout import conf
 from savoryyoke.groups.rollout import decisions
 from savoryyoke.groups.rollout import events
 from savoryyoke.groups.rollout import models
@@ -28,6 +29,8 @@
         self._term = _INITIAL_TERM
         self._is_busy = False
         self._last_order = None
+        self._last_arm_order = None
+        self._last_unknown_step = -1
         self._answered_copy_order = None
 
     @property
@@ -40,6 +43,28 @@
         """Return the newest directive; None before the first one."""
         return self._directive
 
+    @property
+    def may_be_armed(self):
+        """Return whether an order may still arm the engine.
+
+        An order for a pass that has begun has no effect. The orders of an
+        agent that ran before this one are for passes that were at most
+        ``MAX_PASSES_AHEAD`` ahead.
+        """
+        state, order = self._state, self._last_arm_order
+        if state is None or state.step <= self._last_unknown_step:
+            return True
+        return (
+            order is not None
+            and order.epoch == state.epoch
+            and order.step > state.step
+        )
+
+    @property
+    def sequence(self):
+        """Return the sequence number of the newest accepted directive."""
+        return 0 if self._directive is None else self._directive.sequence
+
     @property
     def term(self):
         """Return the newest term from which a directive was accepted."""
@@ -55,6 +80,8 @@
 
     @apply.register
     def _(self, event: events.EngineObserved):
+        if self._state is None:
+            self._last_unknown_step = event.state.step + conf.MAX_PASSES_AHEAD
         self._state = event.state
         return self._choose_order()
 
@@ -118,6 +145,8 @@
             return None
         self._is_busy = order is not None
         self._last_order = order
+        if isinstance(order, decisions.Arm):
+            self._last_arm_order = order
         return order
 
     def _has_matching_directive(self):
@@ -142,7 +171,7 @@
 
 
 def _prepare(directive, state):
-    if state.held is not None:
+    if state.held is not None and state.rank != directive.hold_rank:
         return _release_stale_hold(directive, state)
     version = directive.version
     if state.prepared == version or state.newest_version >= version:
@@ -156,16 +185,21 @@
 
 
 def _hold(directive, state):
-    if state.held not in (None, directive.step):
-        return _release_stale_hold(directive, state)
-    if state.rank != directive.hold_rank or state.held == directive.step:
+    """Release a stale hold; the leader orders the hold of this change itself.
+
+    A hold of a later pass is from a newer directive that has not arrived.
+    """
+    if state.held is None:
         return None
-    if state.step >= directive.step:
+    if state.rank == directive.hold_rank and state.held >= directive.step:
         return None
-    return decisions.Hold(epoch=state.epoch, step=directive.step)
+    return _release_stale_hold(directive, state)
 
 
 def _arm(directive, state):
+    if state.rank == directive.term.rank:
+        # The leader arms its own rank after all others.
+        return None
     version = directive.version
     if state.armed == version or state.prepared != version:
         return None
--- a/packages/savoryyoke/savoryyoke/groups/rollout/conf.py
+++ b/packages/savoryyoke/savoryyoke/groups/rollout/conf.py
@@ -13,6 +13,12 @@
 ELECTION_TIMEOUT_S = 0.5
 ELECTION_STAGGER_PER_RANK_S = 0.1
 
+# These apply while the group may be held. The leader repeats its directive
+# every 0.03 s then, or at an interval that grows with the group.
+HELD_ELECTION_TIMEOUT_S = 0.25
+HELD_ELECTION_MISSED_DIRECTIVES = 3
+HELD_ELECTION_STAGGER_PER_RANK_S = 0.03
+
 # The leader gives orders directly to the engine of an agent that has not
 # reported for this long.
 AGENT_TIMEOUT_S = 0.4
--- a/packages/savoryyoke/savoryyoke/groups/rollout/leader.py
+++ b/packages/savoryyoke/savoryyoke/groups/rollout/leader.py
@@ -11,7 +11,8 @@
 from savoryyoke.groups.rollout import models
 
 _Phase = models.Phase
-_HOLD_PHASES = frozenset({_Phase.HOLD, _Phase.ARM, _Phase.RELEASE})
+# Version of no map, in a RELEASE that abandons the change.
+_NO_VERSION = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -24,17 +25,24 @@
     """Lead a group through the phases of a map change.
 
     1. PREPARE: every rank copies the experts of the new map.
-    2. HOLD: the leader's rank holds the group before a pass that is a few
-       passes ahead. No rank is armed before the hold is confirmed.
-    3. ARM: every rank is armed for that pass. Arming is never undone: a rank
-       that has prepared the map can always be armed, by its agent or by the
-       leader directly. If a rank fails, the group is formed again and the
-       change is dropped.
-    4. RELEASE: once every rank is armed, the hold is released.
+    2. HOLD: another rank, which the leader orders directly, holds the group
+       before a pass that is a few passes ahead. If the leader's VM freezes
+       then, a new leader can reach that rank. Its agent has been told in
+       PREPARE, so that it doesn't take the hold for a stale one. No rank is
+       armed before the hold is confirmed and all agents have reported lately;
+       otherwise the change is abandoned.
+    3. ARM: every rank is armed for that pass, the leader's own rank last.
+       Arming is never undone: a rank that has prepared the map can always be
+       armed, by its agent or by the leader directly. If a rank fails, the
+       group is formed again and the change is dropped.
+    4. RELEASE: once every rank is armed, or if the change is abandoned, the
+       hold is released.
 
     A new leader starts in LEARN. It waits until every other agent has
     accepted its term, after which no order of an older leader can be given,
-    and then resumes the change from the state of the ranks.
+    and then resumes the change from the state of the ranks. If only the
+    former leader's rank can't be reached and no other rank may be armed, that
+    rank isn't armed either, and the change is abandoned.
     """
 
     def __init__(
@@ -71,6 +79,9 @@
         self._switch_step = 0
         self._change_first_step = 0
         self._hold_rank = term.rank
+        # Number of the first directive that names the hold rank.
+        self._hold_rank_sequence = 0
+        self._has_ordered_own_rank = False
         self._last_intervention_s = now_s
         self._previous_directive = previous_directive
 
@@ -140,6 +151,8 @@
         self._epoch = states[0].epoch
         self._change_started_s = now_s
         self._change_first_step = self._find_state(self._term.rank).step
+        self._hold_rank = self._choose_hold_rank()
+        self._hold_rank_sequence = self._sequence + 1
         return self._enter_phase(_Phase.PREPARE, now_s)
 
     @apply.register
@@ -159,24 +172,32 @@
 
     def _recover_change(self, now_s):
         """Resume from the ranks' states once all have accepted this term."""
-        if not self._is_followed():
-            return ()
         states = self._list_states()
+        if not self._is_followed():
+            if not self._can_abandon():
+                return ()
+            self._epoch = max(state.epoch for state in states)
+            return self._abandon_change(_find_holding(states), now_s)
         self._epoch = max(state.epoch for state in states)
-        holding_state = next(
-            (state for state in states if state.held is not None), None
-        )
+        holding_state = _find_holding(states)
         if holding_state is None:
             return self._enter_phase(_Phase.IDLE, now_s)
         self._hold_rank = holding_state.rank
         self._switch_step = holding_state.held
         self._version = self._find_held_version(states, holding_state)
-        if self._version:
+        if self._version != _NO_VERSION:
             return self._enter_phase(_Phase.ARM, now_s)
         return self._enter_phase(_Phase.RELEASE, now_s)
 
+    def _abandon_change(self, holding_state, now_s):
+        """Release the hold of a change for which no rank is armed."""
+        self._hold_rank = holding_state.rank
+        self._switch_step = holding_state.held
+        self._version = _NO_VERSION
+        return self._enter_phase(_Phase.RELEASE, now_s)
+
     def _find_held_version(self, states, holding_state):
-        """Return the version that the hold is for; 0 if there is none.
+        """Return the version that the hold is for, or ``_NO_VERSION``.
 
         Every rank had prepared that map before the hold, so the change can
         be completed.
@@ -186,14 +207,14 @@
             return armed
         directive = self._previous_directive
         if directive is None or directive.epoch != holding_state.epoch:
-            return 0
+            return _NO_VERSION
         if (
-            directive.phase not in _HOLD_PHASES
+            directive.phase not in models.HOLD_PHASES
             or directive.step != holding_state.held
         ):
-            return 0
+            return _NO_VERSION
         prepared = all(state.prepared == directive.version for state in states)
-        return directive.version if prepared else 0
+        return directive.version if prepared else _NO_VERSION
 
     def _wait_idle(self, now_s):
         return ()
@@ -203,12 +224,11 @@
         if self._all_ranks(
             states, lambda state: state.prepared == self._version
         ):
-            self._switch_step = (
-                max(state.step for state in states)
-                + self._count_passes_ahead()
-            )
-            self._hold_rank = self._term.rank
-            return self._enter_phase(_Phase.HOLD, now_s)
+            if not self._is_hold_rank_ready(now_s):
+                return self._replace_hold_rank(now_s)
+            if len(self._find_fresh_states(now_s)) == len(states):
+                newest_step = max(state.step for state in states)
+                return self._enter_hold(newest_step, now_s)
         if now_s - self._phase_started_s > conf.PREPARE_TIMEOUT_S:
             return self._end_change('not prepared in time', now_s)
         return ()
@@ -230,26 +250,90 @@
             max(passes_ahead, conf.MIN_PASSES_AHEAD), conf.MAX_PASSES_AHEAD
         )
 
+    def _enter_hold(self, newest_step, now_s):
+        """Order the hold rank to hold the group a few passes ahead."""
+        self._switch_step = newest_step + self._count_passes_ahead()
+        return self._enter_phase(_Phase.HOLD, now_s) + self._order_hold()
+
+    def _choose_hold_rank(self):
+        """Return the rank, other than the own one, that reported last.
+
+        A rank without a stale hold is preferred.
+        """
+        return max(
+            self._reports_by_rank,
+            key=lambda rank: (
+                rank != self._term.rank,
+                self._find_state(rank).held is None,
+                self._reports_by_rank[rank].received_s,
+            ),
+        )
+
+    def _is_hold_rank_ready(self, now_s):
+        """Return whether the agent of the hold rank knows its task."""
+        received = self._reports_by_rank[self._hold_rank]
+        return (
+            received.report.term == self._term
+            and received.report.sequence >= self._hold_rank_sequence
+            and now_s - received.received_s <= conf.AGENT_TIMEOUT_S
+        )
+
+    def _replace_hold_rank(self, now_s):
+        """Choose another hold rank if the present one is silent."""
+        received = self._reports_by_rank[self._hold_rank]
+        if now_s - received.received_s <= conf.AGENT_TIMEOUT_S:
+            return ()
+        self._hold_rank = self._choose_hold_rank()
+        self._hold_rank_sequence = self._sequence + 1
+        return (self._publish(),)
+
+    def _order_hold(self):
+        host = self._reports_by_rank[self._hold_rank].report.host
+        order = decisions.Hold(epoch=self._epoch, step=self._switch_step)
+        return (decisions.OrderRemotely(host=host, order=order),)
+
     def _wait_held(self, now_s):
         hold_state = self._find_state(self._hold_rank)
         if hold_state.held == self._switch_step:
+            if len(self._find_fresh_states(now_s)) < hold_state.ranks:
+                return self._abandon_change(hold_state, now_s)
             return self._enter_phase(_Phase.ARM, now_s)
-        if hold_state.step >= self._switch_step:
-            self._switch_step = hold_state.step + self._count_passes_ahead()
-            return self._enter_phase(_Phase.HOLD, now_s)
+        newest_step = max(state.step for state in self._list_states())
+        if newest_step >= self._switch_step:
+            return self._enter_hold(newest_step, now_s)
         return ()
 
     def _wait_armed(self, now_s):
         states = self._list_states()
         if self._all_ranks(states, self._is_armed):
             return self._enter_phase(_Phase.RELEASE, now_s)
+        if self._is_own_rank_due(states) and not self._has_ordered_own_rank:
+            self._has_ordered_own_rank = True
+            return self._arm_own_rank()
         return ()
 
+    def _is_own_rank_due(self, states):
+        """Return whether all ranks but the own one are armed."""
+        return len(states) == states[0].ranks and all(
+            self._is_armed(state) != (state.rank == self._term.rank)
+            for state in states
+        )
+
+    def _arm_own_rank(self):
+        order = decisions.Arm(
+            epoch=self._epoch, version=self._version, step=self._switch_step
+        )
+        return (decisions.OrderRemotely(host=self._host, order=order),)
+
     def _is_armed(self, state):
         return self._version in (state.armed, state.active)
 
     def _wait_released(self, now_s):
         states = self._list_states()
+        if self._version == _NO_VERSION:
+            if self._find_state(self._hold_rank).held is None:
+                return self._end_change('abandoned', now_s)
+            return ()
         if self._all_ranks(
             states, lambda state: state.active == self._version
         ):
@@ -260,21 +344,33 @@
         return len(states) == states[0].ranks and all(map(predicate, states))
 
     def _order_for_silent_agents(self, now_s):
-        """Give orders to engines whose agents don't report.
+        """Give orders to engines directly.
 
-        Only for the phases that need every rank or the holding rank: ARM and
-        RELEASE. In LEARN, observe the rank of the previous leader instead.
+        These are repeated orders to hold the group or to arm the own rank, and
+        orders to engines whose agents don't report, in the phases that need
+        every rank or the holding rank: ARM and RELEASE. In LEARN, observe the
+        rank of the previous leader instead.
         """
         if now_s - self._last_intervention_s < conf.ORDER_RETRY_S:
             return ()
         self._last_intervention_s = now_s
         if self._phase is _Phase.LEARN:
             return self._observe_former_leader()
+        if self._phase is _Phase.HOLD:
+            return self._order_hold()
+        if self._phase is _Phase.ARM and self._is_own_rank_due(
+            self._list_states()
+        ):
+            return self._arm_own_rank()
         silent_reports = [
             received.report
             for received in self._reports_by_rank.values()
             if now_s - received.received_s > conf.AGENT_TIMEOUT_S
         ]
+        if 2 * len(silent_reports) > len(self._reports_by_rank):
+            # Rather than most agents, this process has been frozen. Another
+            # leader may have released the group since.
+            return ()
         new_decisions = (
             self._choose_remote_order(report) for report in silent_reports
         )
@@ -292,19 +388,20 @@
         )
 
     def _find_exempt_rank(self):
-        """Return the rank of a previous leader that may hold the group.
+        """Return the rank of a previous leader of an unfinished change.
 
         Only that rank need not accept this term: all orders that its agent
         may still give belong to the change that this leader completes.
         """
         directive = self._previous_directive
-        if directive is None or directive.phase not in _HOLD_PHASES:
+        if directive is None or directive.phase not in models.HOLD_PHASES:
             return None
-        return directive.hold_rank
+        return directive.term.rank
 
     def _choose_remote_order(self, report):
         if self._phase is _Phase.ARM:
-            if report.state.armed == self._version:
+            is_own_rank = report.state.rank == self._term.rank
+            if is_own_rank or report.state.armed == self._version:
                 return None
             order = decisions.Arm(
                 epoch=self._epoch,
@@ -332,6 +429,30 @@
             for report in reports
         )
 
+    def _can_abandon(self):
+        """Return whether no rank can be armed for the change.
+
+        Every rank but the former leader's has accepted this term, has not been
+        armed and will not be. A leader arms its own rank last.
+        """
+        reports = [
+            received.report for received in self._reports_by_rank.values()
+        ]
+        exempt_rank = self._find_exempt_rank()
+        return (
+            bool(reports)
+            and exempt_rank is not None
+            and exempt_rank not in self._reports_by_rank
+            and len(reports) == reports[0].state.ranks - 1
+            and _find_holding(self._list_states()) is not None
+            and all(
+                report.term == self._term
+                and report.state.armed is None
+                and not report.may_be_armed
+                for report in reports
+            )
+        )
+
     def _find_fresh_states(self, now_s):
         return [
             received.report.state
@@ -377,6 +498,7 @@
 
     def _enter_phase(self, phase, now_s):
         self._phase = phase
+        self._has_ordered_own_rank = False
         self._phase_started_s = now_s
         return (self._publish(),)
 
@@ -411,6 +533,11 @@
         )
 
 
+def _find_holding(states):
+    """Return the state of a rank that holds the group, or None."""
+    return next((state for state in states if state.held is not None), None)
+
+
 _HANDLERS_BY_PHASE = {
     _Phase.LEARN: GroupLeader._recover_change,
     _Phase.IDLE: GroupLeader._wait_idle,
--- a/packages/savoryyoke/savoryyoke/groups/rollout/models.py
+++ b/packages/savoryyoke/savoryyoke/groups/rollout/models.py
@@ -46,11 +46,18 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class RankReport:
-    """Report an engine's state and the newest term its agent has accepted."""
+    """Report an engine's state and the newest directive its agent accepted.
+
+    The directive is identified by its ``term`` and ``sequence``.
+    ``may_be_armed`` is false if the agent has given no order that may still
+    arm its engine.
+    """
 
     host: str
     state: EngineState
     term: Term
+    sequence: int = 0
+    may_be_armed: bool = True
 
 
 class Phase(enum.Enum):
@@ -64,6 +71,10 @@
     RELEASE = 'release'
 
 
+# Phases in which the group may be held.
+HOLD_PHASES = frozenset({Phase.HOLD, Phase.ARM, Phase.RELEASE})
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class ExpertMap:
     """Hold the expert numbers of all ranks by expert set, rank and slot."""
@@ -86,7 +97,8 @@
 
     ``expert_map`` is set in phase ``PREPARE`` only. From ``HOLD`` on,
     ``version`` is the map to switch to when pass ``step`` begins, and the
-    engine of ``hold_rank`` holds the group before that pass.
+    engine of ``hold_rank`` holds the group before that pass; it is named from
+    ``PREPARE`` on. ``version`` is 0 in ``RELEASE`` if the change is abandoned.
     ``wants_experts`` asks each rank to report the experts that it holds.
     ``sequence`` grows with each directive of a term.
     """
--- a/packages/savoryyoke/tests/groups/rollout/test_rollout.py
+++ b/packages/savoryyoke/tests/groups/rollout/test_rollout.py
@@ -3,6 +3,8 @@
 import unittest
 import unittest.mock
 
+from savoryyoke.groups.rollout import agent
+from savoryyoke.groups.rollout import decisions
 from savoryyoke.groups.rollout import events
 from savoryyoke.groups.rollout import leader
 from savoryyoke.groups.rollout import models
@@ -19,6 +21,15 @@
     return self._enter_phase(models.Phase.ARM, now_s)
 
 
+def arm_every_rank(directive, state):
+    """Arm the leader's rank without waiting for the others, as a mutant."""
+    if state.prepared != directive.version or state.armed is not None:
+        return None
+    return decisions.Arm(
+        epoch=state.epoch, version=directive.version, step=directive.step
+    )
+
+
 class EarlyReleaseLeader(leader.GroupLeader):
     """Release the hold once all ranks but one are armed, as a mutant."""
 
@@ -74,6 +85,49 @@
                 self.assertEqual([], simulation.mixed_passes)
 
 
+class FrozenHolderTests(unittest.TestCase):
+    """Simulate VMs that freeze right after they ordered to hold the group.
+
+    Nobody else can call the engine of a frozen VM.
+    """
+
+    # A new leader is elected within 0.4 s, and then all agents have to accept
+    # its term.
+    HELD_LIMIT_S = 0.8
+
+    def simulate(self, *, seed, **faults):
+        return simulate(
+            world.Faults(
+                hold_freeze_share=0.3, freezes_cut_engines=True, **faults
+            ),
+            seed=seed,
+        )
+
+    def test_group_is_soon_released(self):
+        for seed in _SEEDS:
+            with self.subTest(seed=seed):
+                simulation = self.simulate(seed=seed)
+                self.assertEqual([], simulation.mixed_passes)
+                self.assertLess(simulation.longest_held_s, self.HELD_LIMIT_S)
+                switches_before = simulation.switches
+                simulation.run(10.0)
+                self.assertGreater(simulation.switches, switches_before)
+
+    def test_passes_stay_even_under_further_faults(self):
+        for seed in range(20):
+            with self.subTest(seed=seed):
+                simulation = self.simulate(
+                    seed=seed,
+                    datagram_loss_share=0.1,
+                    late_order_share=0.2,
+                    freezes_per_s=0.2,
+                    restarts_per_s=0.1,
+                    idle_pass_share=0.2,
+                    arm_freeze_share=0.05,
+                )
+                self.assertEqual([], simulation.mixed_passes)
+
+
 class FaultTests(unittest.TestCase):
     """Simulate random faults with fixed seeds."""
 
@@ -136,6 +190,21 @@
         with unittest.mock.patch.dict(leader._HANDLERS_BY_PHASE, mutant):
             self.assertGreater(self.count_mixed(), 0)
 
+    def test_arming_the_leaders_rank_first(self):
+        faults = world.Faults(
+            arm_freeze_share=0.3,
+            freezes_cut_engines=True,
+            datagram_loss_share=0.6,
+        )
+        mutant = {models.Phase.ARM: arm_every_rank}
+        with unittest.mock.patch.dict(agent._ORDERS_BY_PHASE, mutant):
+            mixed_passes = [
+                step
+                for seed in _MUTANT_SEEDS
+                for step in simulate(faults, seed=seed).mixed_passes
+            ]
+        self.assertTrue(mixed_passes)
+
     def test_releasing_before_all_are_armed(self):
         self.assertGreater(
             self.count_mixed(leader_class=EarlyReleaseLeader), 0
--- a/packages/savoryyoke/tests/groups/rollout/world.py
+++ b/packages/savoryyoke/tests/groups/rollout/world.py
@@ -8,8 +8,8 @@
 import random
 
 from savoryyoke.groups.rollout import agent
-from savoryyoke.groups.rollout import conf
 from savoryyoke.groups.rollout import decisions
+from savoryyoke.groups.rollout import elections
 from savoryyoke.groups.rollout import events
 from savoryyoke.groups.rollout import leader
 from savoryyoke.groups.rollout import models
@@ -17,6 +17,7 @@
 PASS_S = 0.05
 TICK_S = 0.01
 COPY_S = 0.3
+ORDER_FREEZE_S = 4.0
 
 
 class Engine:
@@ -118,6 +119,7 @@
     published_s: float = 0.0
     frozen_until_s: float = 0.0
     inbox: list = dataclasses.field(default_factory=list)
+    delayed_decisions: list = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -128,7 +130,11 @@
     ``late_order_share`` the share of orders that are carried out late and
     without an answer, and ``idle_pass_share`` the share of pass times at which
     no pass begins. The rates of freezes and restarts are totals over all
-    processes.
+    processes. ``hold_freeze_share`` and ``arm_freeze_share`` are the shares of
+    orders to hold the group and to arm an engine after which the VM that gave
+    the order freezes at once. With
+    ``freezes_cut_engines``, the engine of a frozen VM can't be called by other
+    VMs.
     """
 
     datagram_loss_share: float = 0.0
@@ -137,6 +143,9 @@
     leader_freezes_per_s: float = 0.0
     restarts_per_s: float = 0.0
     idle_pass_share: float = 0.0
+    hold_freeze_share: float = 0.0
+    arm_freeze_share: float = 0.0
+    freezes_cut_engines: bool = False
 
 
 class World:
@@ -199,8 +208,9 @@
             self.processes[rank] = self._start_process()
             self.processes[rank].frozen_until_s = self.now_s + 1.0
 
-    def _freeze(self, process):
-        freeze_s = self.random.choice((0.2, 1.0, 4.0))
+    def _freeze(self, process, freeze_s=None):
+        if freeze_s is None:
+            freeze_s = self.random.choice((0.2, 1.0, 4.0))
         process.frozen_until_s = self.now_s + freeze_s
 
     def _carry_out_late_orders(self):
@@ -251,6 +261,9 @@
         process = self.processes[rank]
         if self.now_s < process.frozen_until_s:
             return
+        delayed, process.delayed_decisions = process.delayed_decisions, []
+        for decision in delayed:
+            self._carry_out(rank, decision)
         inbox, process.inbox = process.inbox, []
         for message in inbox:
             self._receive(rank, message)
@@ -279,10 +292,18 @@
     def _process_order(self, rank, order):
         if order is None:
             return
-        result = self._send_order(rank, order)
+        result = self._send_order(rank, rank, order)
         self.processes[rank].agent.apply(events.OrderEnded(result=result))
 
-    def _send_order(self, rank, order):
+    def _send_order(self, sender_rank, rank, order):
+        if not self._can_call(sender_rank, rank):
+            return events.OrderResult.UNKNOWN
+        freeze_share = {
+            decisions.Hold: self.faults.hold_freeze_share,
+            decisions.Arm: self.faults.arm_freeze_share,
+        }.get(type(order), 0.0)
+        if freeze_share and self.random.random() < freeze_share:
+            self._freeze(self.processes[sender_rank], ORDER_FREEZE_S)
         if self.random.random() < self.faults.late_order_share:
             delay_s = self.random.uniform(2, 12)
             self._late_orders.append((self.now_s + delay_s, rank, order))
@@ -300,6 +321,8 @@
             host=str(rank),
             state=process.agent.state,
             term=process.agent.term,
+            sequence=process.agent.sequence,
+            may_be_armed=process.agent.may_be_armed,
         )
         if process.leader is not None:
             self._apply_to_leader(rank, events.RankReported(report=report))
@@ -309,9 +332,11 @@
     def _run_leader(self, rank):
         process = self.processes[rank]
         if process.leader is None:
-            wait_s = (
-                conf.ELECTION_TIMEOUT_S
-                + rank * conf.ELECTION_STAGGER_PER_RANK_S
+            directive = process.agent.directive
+            wait_s = elections.choose_election_delay_s(
+                rank=rank,
+                phase=directive.phase if directive else models.Phase.LEARN,
+                repeat_interval_s=3 * TICK_S,
             )
             if self.now_s - process.directive_received_s < wait_s:
                 return
@@ -346,12 +371,17 @@
             self._carry_out(rank, decision)
 
     def _carry_out(self, rank, decision):
+        """Carry out a decision, after the freeze if the process is frozen."""
+        process = self.processes[rank]
+        if self.now_s < process.frozen_until_s:
+            process.delayed_decisions.append(decision)
+            return
         match decision:
             case decisions.Publish(directive=directive):
                 self._publish(rank, directive)
             case decisions.OrderRemotely(host=host, order=order):
-                self._send_order(int(host), order)
-                self._observe_remotely(rank, host)
+                self._send_order(rank, int(host), order)
+                self._carry_out(rank, decisions.ObserveRemotely(host=host))
             case decisions.ObserveRemotely(host=host):
                 self._observe_remotely(rank, host)
 
@@ -369,7 +399,15 @@
             process.agent.apply(events.DirectiveReceived(directive=directive)),
         )
 
+    def _can_call(self, sender_rank, rank):
+        """Return whether a VM can call the engine on another one."""
+        if sender_rank == rank or not self.faults.freezes_cut_engines:
+            return True
+        return self.now_s >= self.processes[rank].frozen_until_s
+
     def _observe_remotely(self, rank, host):
+        if not self._can_call(rank, int(host)):
+            return
         report = models.RankReport(
             host=host,
             state=self.engines[int(host)].observe(),
