Let all entries of a large fleet know each other, and relay heartbeats

Load: fleets of more than 16 entries. Three parts, the first two of one matter:

Cause: a heartbeat named the first 16 live hosts, always the same. In a simulated fleet of 44, 20 to 26 entries stayed unknown to most others, so that requests at targets, the retry limit's shares (the limit could be exceeded) and the directory were worked out from half a fleet. Now the contacts take turns.

Hypothesis: heartbeats between all pairs are nine tenths of the bytes between data centres (275 bytes, 44 x 43 pairs, 3.9 a second: 1.3 of 1.5 MB/s). A heartbeat now goes to one peer of each other data centre, another one each time, which passes it on. Builds that don't relay get heartbeats directly.

--- a/packages/savoryyoke-gateway/savoryyoke_gateway/peering.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/peering.py
@@ -9,6 +9,7 @@
 from savoryyoke.peers import conf as peers_conf
 from savoryyoke.peers import messages
 from savoryyoke.peers import pacing
+from savoryyoke.peers import relays
 from savoryyoke.peers import slow_targets
 from savoryyoke.peers import table
 
@@ -96,7 +97,7 @@
     async def announce(self):
         """Send a heartbeat to all contact hosts immediately."""
         if self._socket is not None:
-            await self._send_heartbeats()
+            await self._send_heartbeats(without_relays=True)
 
     async def _exchange_heartbeats(self):
         async with await anyio.create_udp_socket(
@@ -122,18 +123,33 @@
             peer_count=self.table.max_entry_count - 1
         )
 
-    async def _send_heartbeats(self):
+    async def _send_heartbeats(self, *, without_relays=False):
+        uses_relays = not without_relays and relays.uses_relays(
+            entry_count=self.table.max_entry_count
+        )
         heartbeat = self._pacing.select(
-            self._build_heartbeat(), now_s=self._clock()
+            self._build_heartbeat(wants_relay=uses_relays),
+            now_s=self._clock(),
         )
         if heartbeat is None:
             return
         datagram = self._encode(heartbeat)
         if datagram is None:
             return
+        hosts = self.table.contact_hosts(now_s=self._clock())
+        if uses_relays:
+            hosts = relays.choose_recipients(
+                hosts,
+                live_heartbeats=self.table.alive(now_s=self._clock()),
+                own_data_centre=self._settings.data_centre,
+                sequence=heartbeat.sequence,
+            )
+        await self._send_to_all(datagram, hosts)
+
+    async def _send_to_all(self, datagram, hosts):
         # Only one task at a time may send on the socket.
         async with self._send_lock:
-            for host in self.table.contact_hosts(now_s=self._clock()):
+            for host in hosts:
                 await self._send_to(datagram, host)
 
     @staticmethod
@@ -178,7 +194,7 @@
                 reason=str(error),
             )
 
-    def _build_heartbeat(self):
+    def _build_heartbeat(self, *, wants_relay):
         is_ready, is_leaving, in_flight = self._get_entry_state()
         return messages.Heartbeat(
             sender_id=self._settings.vm_id,
@@ -204,6 +220,8 @@
             crashes=self._suspects.reports_due(
                 self.table.alive(now_s=self._clock())
             ),
+            can_relay=True,
+            wants_relay=wants_relay,
         )
 
     async def _receive_heartbeats(self):
@@ -218,11 +236,20 @@
                     reason=str(error),
                 )
                 continue
+            if not self.table.receive(heartbeat, now_s=self._clock()):
+                continue
             self._process_heartbeat(heartbeat)
+            await self._send_to_all(
+                datagram,
+                relays.choose_forward_hosts(
+                    heartbeat,
+                    source_host=host,
+                    live_heartbeats=self.table.alive(now_s=self._clock()),
+                    own_data_centre=self._settings.data_centre,
+                ),
+            )
 
     def _process_heartbeat(self, heartbeat):
-        if not self.table.receive(heartbeat, now_s=self._clock()):
-            return
         self._dispatching.set_peer_requests(
             peer_id=heartbeat.sender_id,
             requests_by_target_id={
--- a/packages/savoryyoke-wire/savoryyoke_wire/fleet.capnp
+++ b/packages/savoryyoke-wire/savoryyoke_wire/fleet.capnp
@@ -45,6 +45,8 @@
   # Absent in messages of older builds, which read as the first epoch.
   publishedEpoch @16 :UInt64;
   configurationVersion @17 :Int64;
+  canRelay @18 :Bool;
+  wantsRelay @19 :Bool;
 }
 
 struct Item {
--- a/packages/savoryyoke-wire/savoryyoke_wire/fleet.py
+++ b/packages/savoryyoke-wire/savoryyoke_wire/fleet.py
@@ -34,6 +34,8 @@
         publishedAsOf=heartbeat.published_as_of.number,
         publishedEpoch=heartbeat.published_as_of.epoch,
         configurationVersion=heartbeat.configuration_version,
+        canRelay=heartbeat.can_relay,
+        wantsRelay=heartbeat.wants_relay,
         contactHosts=list(heartbeat.contact_hosts),
         evidenceDigest=heartbeat.evidence_digest,
     )
@@ -89,6 +91,8 @@
                 epoch=message.publishedEpoch, number=message.publishedAsOf
             ),
             configuration_version=message.configurationVersion,
+            can_relay=message.canRelay,
+            wants_relay=message.wantsRelay,
             in_flight=tuple(
                 messages.InFlight(
                     target_id=count.targetId, requests=count.requests
--- a/packages/savoryyoke-wire/tests/test_fleet.py
+++ b/packages/savoryyoke-wire/tests/test_fleet.py
@@ -23,6 +23,8 @@
     is_leaving=False,
     published_as_of=models.Revision(epoch=3, number=29),
     configuration_version=14,
+    can_relay=True,
+    wants_relay=True,
     in_flight=(messages.InFlight(target_id='t1', requests=3),),
     contact_hosts=('10.0.0.2', '10.0.0.3'),
     leaving_targets=(
--- a/packages/savoryyoke/savoryyoke/groups/rollout/agent.py
+++ b/packages/savoryyoke/savoryyoke/groups/rollout/agent.py
@@ -196,7 +196,17 @@
     return _release_stale_hold(directive, state)
 
 
+def _has_earlier_hold(directive, state):
+    """Return whether the engine holds a pass before that of the change.
+
+    Such a hold was ordered for an earlier change and carried out late.
+    """
+    return state.held is not None and state.held < directive.step
+
+
 def _arm(directive, state):
+    if _has_earlier_hold(directive, state):
+        return _release_stale_hold(directive, state)
     if state.rank == directive.term.rank:
         # The leader arms its own rank after all others.
         return None
@@ -211,6 +221,8 @@
 
 
 def _release(directive, state):
+    if _has_earlier_hold(directive, state):
+        return _release_stale_hold(directive, state)
     if state.rank != directive.hold_rank or state.held != directive.step:
         return None
     return decisions.Go(epoch=state.epoch, step=directive.step)
--- a/packages/savoryyoke/savoryyoke/peers/conf.py
+++ b/packages/savoryyoke/savoryyoke/peers/conf.py
@@ -22,6 +22,10 @@
 HEARTBEAT_SAFE_INTERVAL_S = 0.4
 HEARTBEAT_MIN_PER_PEER_S = 0.002
 
+# Larger fleets relay heartbeats between data centres. In smaller ones, relays
+# would save little and a heartbeat would depend on two datagrams.
+DIRECT_FLEET_ENTRIES = 16
+
 # A peer without a heartbeat for this time is considered down. That is three to
 # ten lost datagrams in a row, more than on a lossy link.
 PEER_TIMEOUT_S = 1.0
--- a/packages/savoryyoke/savoryyoke/peers/messages.py
+++ b/packages/savoryyoke/savoryyoke/peers/messages.py
@@ -36,7 +36,9 @@
     whose own VMs have reported to it that they are slow. ``leaving_targets``
     are the targets that have announced to it that they leave.
     ``evidence_digest`` is a digest of its crash reports, and ``crashes`` are
-    the reports that another entry seems to lack.
+    the reports that another entry seems to lack. ``can_relay`` is false for an
+    entry that does not pass on heartbeats, and ``wants_relay`` asks a
+    recipient in another data centre to pass this one on.
     """
 
     sender_id: str
@@ -55,3 +57,5 @@
     evidence_digest: int = 0
     crashes: tuple[evidence.CrashReport, ...] = ()
     configuration_version: int = 0
+    can_relay: bool = False
+    wants_relay: bool = False
--- a/packages/savoryyoke/savoryyoke/peers/table.py
+++ b/packages/savoryyoke/savoryyoke/peers/table.py
@@ -92,11 +92,19 @@
         return sorted(self._seed_hosts | set(self._contact_seen_s_by_host))
 
     def alive_hosts(self, *, now_s):
-        """Return hosts of live peers, at most ``HEARTBEAT_CONTACTS_LIMIT``."""
+        """Return hosts of live peers, at most ``HEARTBEAT_CONTACTS_LIMIT``.
+
+        In a larger fleet, other hosts are returned in each
+        ``CONTACTS_INTERVAL_S``, so that all peers learn of all others.
+        """
         hosts = sorted(
             heartbeat.sender_host for heartbeat in self.alive(now_s=now_s)
         )
-        return tuple(hosts[: conf.HEARTBEAT_CONTACTS_LIMIT])
+        limit = conf.HEARTBEAT_CONTACTS_LIMIT
+        if len(hosts) <= limit:
+            return tuple(hosts)
+        start = int(now_s / conf.CONTACTS_INTERVAL_S) * limit % len(hosts)
+        return tuple((hosts[start:] + hosts[:start])[:limit])
 
     @staticmethod
     def _is_stale(current, heartbeat):
--- a/packages/savoryyoke/tests/groups/rollout/test_rollout.py
+++ b/packages/savoryyoke/tests/groups/rollout/test_rollout.py
@@ -128,6 +128,44 @@
                 self.assertEqual([], simulation.mixed_passes)
 
 
+class StaleHoldTests(unittest.TestCase):
+    """Check that a hold that is carried out late doesn't stop a group."""
+
+    def test_hold_before_the_pass_of_a_later_change(self):
+        state = models.EngineState(
+            group='g',
+            epoch=1,
+            rank=1,
+            ranks=3,
+            is_open=True,
+            step=6,
+            active=4,
+            prepared=5,
+            armed=5,
+            held=7,
+        )
+        for phase in (models.Phase.ARM, models.Phase.RELEASE):
+            with self.subTest(phase=phase):
+                rank_agent = agent.RankAgent()
+                rank_agent.apply(events.EngineObserved(state=state))
+                order = rank_agent.apply(
+                    events.DirectiveReceived(
+                        directive=models.Directive(
+                            group='g',
+                            epoch=1,
+                            term=models.Term(number=1, rank=2),
+                            sequence=1,
+                            leader_host='2',
+                            phase=phase,
+                            version=5,
+                            step=8,
+                            hold_rank=2,
+                        )
+                    )
+                )
+                self.assertEqual(decisions.Go(epoch=1, step=7), order)
+
+
 class FaultTests(unittest.TestCase):
     """Simulate random faults with fixed seeds."""
 
--- a/packages/savoryyoke/tests/peers/test_table.py
+++ b/packages/savoryyoke/tests/peers/test_table.py
@@ -65,6 +65,20 @@
             ['10.0.0.2', '10.0.0.3'], self.table.contact_hosts(now_s=0.1)
         )
 
+    def test_contacts_of_a_large_fleet_take_turns(self):
+        numbers = range(2, 46)
+        named = set()
+        for second in range(3):
+            now_s = second * conf.CONTACTS_INTERVAL_S
+            for number in numbers:
+                self.table.receive(
+                    build_heartbeat(number, sequence=second + 1), now_s=now_s
+                )
+            hosts = self.table.alive_hosts(now_s=now_s)
+            self.assertEqual(conf.HEARTBEAT_CONTACTS_LIMIT, len(set(hosts)))
+            named.update(hosts)
+        self.assertEqual({f'10.0.0.{number}' for number in numbers}, named)
+
     def test_silent_contacts_are_removed_except_seeds(self):
         self.table.receive(
             build_heartbeat(2, contact_hosts=('10.0.0.3',)), now_s=0.0
