Hold requests while a group forms after an entry's start

Load: all VMs lose power and return together.

Change: in the first 3 s after its start an entry lets requests wait for a group that is out of service, as it does with late ones (1.1 s for streams).

Ruled out: holding first tries in every outage.

--- a/packages/savoryyoke-gateway/savoryyoke_gateway/conf.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/conf.py
@@ -75,6 +75,11 @@
 # neither can be reached.
 START_HOLD_S = 0.6
 
+# Time after the start in which requests wait for a group that is out of
+# service, even if they are on time. A group is formed within 0.6 s of the
+# start of its last rank.
+START_OUTAGE_HOLD_S = 3.0
+
 # Number of peers that an entry asks after the platform was restored from an
 # older copy, for what it may have missed itself.
 RESTORE_COPIES = 3
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/dispatching.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/dispatching.py
@@ -193,12 +193,10 @@
         self._waiters_by_id[arrival.request_id] = waiter
         try:
             self._apply(service_dispatcher, arrival)
-            while waiter.decision is None:
-                wait_s = arrival.wait_until_s - self._clock()
-                with anyio.move_on_after(max(wait_s, 0)):
-                    await waiter.decided.wait()
-                if waiter.decision is None:
-                    self._apply(service_dispatcher, events.Ticked())
+            for end_s in (arrival.wait_until_s, arrival.outage_wait_until_s):
+                await self._wait_for_decision(
+                    service_dispatcher, waiter, end_s
+                )
             return waiter.decision
         except BaseException:
             self._withdraw_request(
@@ -208,6 +206,23 @@
         finally:
             del self._waiters_by_id[arrival.request_id]
 
+    async def _wait_for_decision(self, service_dispatcher, waiter, end_s):
+        """Wait for a decision until ``end_s``, then make those that are due.
+
+        Do nothing if ``end_s`` is None.
+        """
+        if end_s is None:
+            return
+        while waiter.decision is None:
+            wait_s = end_s - self._clock()
+            with anyio.move_on_after(max(wait_s, 0)):
+                await waiter.decided.wait()
+            if waiter.decision is not None:
+                return
+            self._apply(service_dispatcher, events.Ticked())
+            if self._clock() >= end_s:
+                return
+
     def place_retry(self, service_name, event):
         """Return the decision on a further try of a request.
 
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/forwarder.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/forwarder.py
@@ -58,6 +58,7 @@
         self._translator = translator
         self._random_fraction = random_fraction
         self._clock = clock
+        self._started_s = clock()
         self._reporter = reporting.CallReporter(
             published_state=published_state,
             dispatching=dispatching,
@@ -246,6 +247,7 @@
             is_on_time=is_on_time,
             priority=self._find_priority(call),
             wait_until_s=self._choose_wait_end_s(call, is_on_time),
+            outage_wait_until_s=self._choose_outage_wait_end_s(call),
             time_left_s=max(call.deadline_s - now_s, 0.0),
             regions=call.regions,
             withheld_releases=call.withheld_releases,
@@ -254,6 +256,17 @@
         call.waited_s = self._clock() - now_s
         return placement
 
+    def _choose_outage_wait_end_s(self, call):
+        """Return until when a request waits while no target is in service.
+
+        Return None to have it refused at once if it is on time. An entry that
+        has just started can't tell which callers have spent their tries on
+        VMs that are down, and targets often start with it.
+        """
+        if self._clock() - self._started_s > conf.START_OUTAGE_HOLD_S:
+            return None
+        return self._choose_wait_end_s(call, is_on_time=False)
+
     def _choose_wait_end_s(self, call, is_on_time):
         if call.is_stream and not is_on_time:
             wait_s = conf.LATE_WAIT_S
--- a/packages/savoryyoke/savoryyoke/placement/dispatcher.py
+++ b/packages/savoryyoke/savoryyoke/placement/dispatcher.py
@@ -149,9 +149,13 @@
         return decided
 
     def _handle_no_service(self, event, now_s):
-        if event.is_on_time or not self._pool.has_possible_target(
-            regions=event.regions
-        ):
+        if not self._pool.has_possible_target(regions=event.regions):
+            return [self._refuse(event, _Reason.NO_TARGET)]
+        if event.outage_wait_until_s is not None:
+            event = dataclasses.replace(
+                event, wait_until_s=event.outage_wait_until_s
+            )
+        elif event.is_on_time:
             return [self._refuse(event, _Reason.NO_TARGET)]
         self._enqueue(event, now_s)
         return ()
--- a/packages/savoryyoke/savoryyoke/placement/events.py
+++ b/packages/savoryyoke/savoryyoke/placement/events.py
@@ -35,7 +35,9 @@
     Requests that can still meet their objective (``is_on_time``) are placed
     before those that can't, then those with a lower ``priority`` before those
     with a higher one. A request that is not placed by ``wait_until_s``, a
-    time of the dispatcher's clock, is refused. ``time_left_s`` is the time
+    time of the dispatcher's clock, is refused. ``outage_wait_until_s`` takes
+    its place if no target is in service at the arrival; without one, such a
+    request is refused at once if it is on time. ``time_left_s`` is the time
     until the caller's deadline. An empty ``regions`` allows every region.
     Targets that run one of ``withheld_releases`` are not used.
     """
@@ -45,6 +47,7 @@
     priority: int
     wait_until_s: float
     time_left_s: float
+    outage_wait_until_s: float | None = None
     regions: frozenset[str] = frozenset()
     withheld_releases: frozenset[str] = frozenset()
 
--- a/packages/savoryyoke/tests/placement/test_dispatcher.py
+++ b/packages/savoryyoke/tests/placement/test_dispatcher.py
@@ -349,6 +349,20 @@
             {'r': models.RefusalReason.NO_TARGET}, self.refused(decided)
         )
 
+    def test_request_on_time_waits_if_its_entry_allows(self):
+        self.publish(build_target(1, is_in_service=False))
+        self.assertEqual((), self.arrive('r', outage_wait_until_s=1.1))
+        self.assertEqual((), self.apply(events.Ticked(), now_s=1.0))
+        decided = self.publish(build_target(1), now_s=1.05)
+        self.assertEqual({'r': 't1'}, self.placed(decided))
+
+    def test_outage_wait_does_not_apply_to_full_targets(self):
+        for number in range(20):
+            self.arrive(f'fill-{number}', wait_until_s=9.0)
+        self.arrive('r', outage_wait_until_s=1.1)
+        decided = self.apply(events.Ticked(), now_s=0.3)
+        self.assertIn('r', self.refused(decided))
+
     def test_request_on_time_is_refused_at_once(self):
         self.publish(build_target(1, is_in_service=False))
         decided = self.arrive('r')
