--- a/packages/savoryyoke-gateway/savoryyoke_gateway/copying.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/copying.py
@@ -1,5 +1,6 @@
 """Exchange whole views of the published values with peers."""
 
+import math
 import socket
 
 import anyio
@@ -44,7 +45,8 @@
         # not bring into force.
         self._unavailable_version = 0
         self._epoch = None
-        self._epoch_end_s = None
+        # Peers are asked until then what the restored platform lacks.
+        self._restore_end_s = -math.inf
         self._asked_peer_ids = set()
 
     async def run(self):
@@ -132,33 +134,34 @@
         The peers may have accepted changes that this entry has missed and
         that the platform has lost.
         """
-        epoch = self._published_state.as_of.epoch
-        if epoch != self._epoch:
-            is_restore = self._epoch is not None
-            if self._published_state.as_of != models.NO_REVISION:
-                self._epoch = epoch
-            if is_restore:
-                self._epoch_end_s = self._clock() + conf.RESTORE_COPIES_FOR_S
-                self._asked_peer_ids = set()
-        if self._epoch_end_s is None:
+        as_of = self._published_state.as_of
+        if as_of == models.NO_REVISION:
             return
+        if as_of.epoch != self._epoch:
+            self._begin_epoch(as_of.epoch)
         if (
-            self._clock() > self._epoch_end_s
+            self._clock() > self._restore_end_s
             or len(self._asked_peer_ids) >= conf.RESTORE_COPIES
         ):
-            self._epoch_end_s = None
             return
         candidates = [
             heartbeat
             for heartbeat in self._table.alive(now_s=self._clock())
-            if heartbeat.published_as_of.epoch == epoch
+            if heartbeat.published_as_of.epoch == as_of.epoch
             and heartbeat.sender_id not in self._asked_peer_ids
         ]
         if candidates:
             number = int(self._random_fraction() * len(candidates))
-            heartbeat = candidates[number]
-            self._asked_peer_ids.add(heartbeat.sender_id)
-            await self._copy_from(heartbeat.sender_host)
+            self._asked_peer_ids.add(candidates[number].sender_id)
+            await self._copy_from(candidates[number].sender_host)
+
+    def _begin_epoch(self, epoch):
+        """Ask peers again, unless this is the first known epoch."""
+        is_restored = self._epoch is not None
+        self._epoch = epoch
+        self._asked_peer_ids = set()
+        if is_restored:
+            self._restore_end_s = self._clock() + conf.RESTORE_COPIES_FOR_S
 
     async def _copy_from(self, host):
         """Copy the view of a peer; return whether it was received."""
