--- a/packages/savoryyoke-agent/savoryyoke_agent/ports.py
+++ b/packages/savoryyoke-agent/savoryyoke_agent/ports.py
@@ -31,15 +31,13 @@
 
     The group has ``sets`` sets of ``experts`` experts each. A rank can hold
     ``slots`` experts of a set, and copy ``max_copies_per_rank`` of them in a
-    map change. ``pause_objective_s`` is the longest pause between two events
-    for which a stream of the group's service is on time, if there is one.
+    map change.
     """
 
     sets: int
     experts: int
     slots: int
     max_copies_per_rank: int
-    pause_objective_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
