--- a/packages/savoryyoke/savoryyoke/published/holds.py
+++ b/packages/savoryyoke/savoryyoke/published/holds.py
@@ -58,7 +58,7 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
-class _Entry:
+class _ActiveHold:
     overruled: models.Item | None
     end_s: float
 
@@ -67,44 +67,44 @@
     """Own the keys for which a view overrules the restored platform."""
 
     def __init__(self):
-        self._entries_by_key = {}
+        self._holds_by_key = {}
 
     def __contains__(self, key):
-        return key in self._entries_by_key
+        return key in self._holds_by_key
 
     def __len__(self):
-        return len(self._entries_by_key)
+        return len(self._holds_by_key)
 
     def start(self, key, *, overruled, end_s):
         """Overrule the platform's item ``overruled`` until ``end_s``."""
-        self._entries_by_key[key] = _Entry(overruled=overruled, end_s=end_s)
+        self._holds_by_key[key] = _ActiveHold(overruled=overruled, end_s=end_s)
 
     def overrules(self, item):
         """Return whether this very item is overruled."""
-        entry = self._entries_by_key.get(item.key)
+        hold = self._holds_by_key.get(item.key)
         return (
-            entry is not None
-            and entry.overruled is not None
-            and entry.overruled.is_same_write(item)
+            hold is not None
+            and hold.overruled is not None
+            and hold.overruled.is_same_write(item)
         )
 
     def end(self, key):
         """End the hold of a key, if there is one."""
-        self._entries_by_key.pop(key, None)
+        self._holds_by_key.pop(key, None)
 
     def clear(self):
         """End all holds."""
-        self._entries_by_key.clear()
+        self._holds_by_key.clear()
 
     def take_expired(self, *, now_s):
         """End the holds whose time is over; return overruled items by key."""
         expired = {
-            key: entry.overruled
-            for key, entry in self._entries_by_key.items()
-            if entry.end_s <= now_s
+            key: hold.overruled
+            for key, hold in self._holds_by_key.items()
+            if hold.end_s <= now_s
         }
         for key in expired:
-            del self._entries_by_key[key]
+            del self._holds_by_key[key]
         return expired
 
     def report(self, *, now_s):
@@ -112,11 +112,11 @@
         return tuple(
             models.Hold(
                 key=key,
-                remaining_s=entry.end_s - now_s,
-                overruled=entry.overruled,
+                remaining_s=hold.end_s - now_s,
+                overruled=hold.overruled,
             )
-            for key, entry in self._entries_by_key.items()
-            if entry.end_s > now_s
+            for key, hold in self._holds_by_key.items()
+            if hold.end_s > now_s
         )
 
 
