Let soaks that run at once use different addresses

Cause: each soak draws one of 230 blocks of loopback addresses, and entries have a fixed metrics port. Two soaks that were made to draw the same block both fail so (run by hand). Ruled out: the early listener, whose address is bound once. Change: a bound socket reserves the block. Test that failed first: test_soak AddressBlockTests.

--- a/packages/savoryyoke-soak/savoryyoke_soak/fleet.py
+++ b/packages/savoryyoke-soak/savoryyoke_soak/fleet.py
@@ -5,6 +5,7 @@
 import pathlib
 import random
 import signal
+import socket
 import time
 
 import anyio
@@ -20,6 +21,9 @@
 
 _SETTINGS_VARIABLE = 'SAVORYYOKE_SETTINGS'
 _CONTROL_PORTS = 16
+# Address within a block that reserves it; no entry uses it.
+_GUARD_HOST = 254
+_GUARD_PORT = 9464
 
 
 class StartFailed(Exception):
@@ -75,7 +79,7 @@
         self._arguments = arguments
         self.store = fake_store.FakeStore()
         self._store_address = None
-        address_block = random.SystemRandom().randrange(20, 250)
+        self._guard, address_block = _reserve_address_block()
         self._control_port = None
         self.entries = [
             Entry(
@@ -271,6 +275,24 @@
             if process_owner.child is not None:
                 process_owner.child.signal(signal.SIGCONT)
                 process_owner.child.kill()
+        self._guard.close()
+
+
+def _reserve_address_block():
+    """Return a bound socket and the block of addresses that it reserves.
+
+    A block is the second number of loopback addresses. Two soaks that run at
+    once must not use the same one, because entries have fixed ports.
+    """
+    while True:
+        block = random.SystemRandom().randrange(20, 250)
+        guard = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            guard.bind((f'127.{block}.0.{_GUARD_HOST}', _GUARD_PORT))
+        except OSError:
+            guard.close()
+            continue
+        return guard, block
 
 
 def _build_route(name):
--- a/packages/savoryyoke-soak/tests/test_soak.py
+++ b/packages/savoryyoke-soak/tests/test_soak.py
@@ -1,8 +1,11 @@
 """Run short soaks, and mutants whose broken promise must be detected."""
 
+import random
 import unittest
+from unittest import mock
 
 from savoryyoke_soak import faults
+from savoryyoke_soak import fleet
 from savoryyoke_soak import mutants
 from savoryyoke_soak import runner
 
@@ -89,6 +92,20 @@
         )
 
 
+class AddressBlockTests(unittest.TestCase):
+    @mock.patch.object(random.SystemRandom, 'randrange')
+    def test_two_soaks_at_once_use_different_addresses(self, randrange):
+        randrange.side_effect = [77, 77, 78]
+        hosts = []
+        for _ in range(2):
+            started_fleet = fleet.Fleet(
+                group=None, directory='/tmp', history=None, arguments=()
+            )
+            self.addCleanup(started_fleet.kill_all)
+            hosts.append(started_fleet.entries[0].host)
+        self.assertEqual(['127.77.0.1', '127.78.0.1'], hosts)
+
+
 class SoakTests(unittest.TestCase):
     def test_promises_hold(self):
         for seed in (*SEEDS, *REGRESSIONS_BY_SEED):
