--- a/packages/savoryyoke-agent/tests/support.py
+++ b/packages/savoryyoke-agent/tests/support.py
@@ -25,6 +25,7 @@
     ``mixed_passes`` lists the passes in which ranks used different maps.
     ``on_hold(rank)`` is called when the agent of a rank orders a hold.
     ``most_chosen_expert`` is chosen 18 times as often as each other expert.
+    Other VMs can't call the engines of ``unreachable_ranks``.
     """
 
     def __init__(self, *, ranks):
@@ -36,6 +37,7 @@
         self.armed = [None] * ranks
         self.held = [None] * ranks
         self.mixed_passes = []
+        self.unreachable_ranks = set()
         self.most_chosen_expert = 0
         initial_map = planner.make_initial_map(
             sets=SHAPE.sets, ranks=ranks, experts=SHAPE.experts
@@ -127,8 +129,9 @@
         self._rank = rank
 
     async def observe(self, host=None):
-        """Return the state of a rank."""
-        return self._group.observe(self._find_rank(host))
+        """Return the state of a rank, or None if it can't be called."""
+        rank = self._find_rank(host)
+        return self._group.observe(rank) if self._can_call(rank) else None
 
     async def read_counts(self):
         """Return the own counts."""
@@ -140,9 +143,13 @@
 
     async def send_order(self, order, host=None):
         """Execute an order and return its result."""
-        return self._group.execute(
-            self._find_rank(host), order, sender_rank=self._rank
-        )
+        rank = self._find_rank(host)
+        if not self._can_call(rank):
+            return events.OrderResult.UNKNOWN
+        return self._group.execute(rank, order, sender_rank=self._rank)
+
+    def _can_call(self, rank):
+        return rank == self._rank or rank not in self._group.unreachable_ranks
 
     def _find_rank(self, host):
         return self._rank if host is None else int(host[-1]) - 2
--- a/packages/savoryyoke-agent/tests/test_daemon.py
+++ b/packages/savoryyoke-agent/tests/test_daemon.py
@@ -105,6 +105,25 @@
 
         self.run_group(scenario)
 
+    def test_group_is_released_after_its_leader_freezes_in_a_hold(self):
+        async def scenario(group, scopes, start):
+            frozen = []
+
+            def freeze(rank):
+                if not frozen:
+                    frozen.append(rank)
+                    group.unreachable_ranks.add(rank)
+                    scopes[rank].cancel()
+
+            group.on_hold = freeze
+            await wait_until(lambda: frozen)
+            await wait_until(lambda: not any(group.held))
+            step = group.step
+            await wait_until(lambda: group.step > step + 3)
+            self.assertEqual([0] * support.RANKS, group.active)
+
+        self.run_group(scenario)
+
     def test_another_leader_takes_over(self):
         async def scenario(group, scopes, start):
             await wait_until(lambda: all(group.active))
