--- a/packages/savoryyoke-gateway/savoryyoke_gateway/following.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/following.py
@@ -44,6 +44,7 @@
         self._choose_long_poll_s = choose_long_poll_s
         self._long_poll_scope = None
         self._needs_snapshot = True
+        self._is_history_lost = False
         self._is_source_lost = False
 
     async def run(self):
@@ -56,6 +57,10 @@
             except published_exceptions.HistoryLost:
                 self._metrics.count_reading('history-lost')
                 self._needs_snapshot = True
+                if self._is_history_lost:
+                    # The last snapshot was too old as well.
+                    await anyio.sleep(conf.SOURCE_RETRY_DELAY_S)
+                self._is_history_lost = True
             except published_exceptions.SourceUnavailable as error:
                 self._record_outage(error)
                 await anyio.sleep(conf.SOURCE_RETRY_DELAY_S)
@@ -100,6 +105,8 @@
             self._is_source_lost = False
             logs.write_event('platform_regained', as_of=reading.as_of)
         is_snapshot = isinstance(reading, models.Snapshot)
+        if not is_snapshot:
+            self._is_history_lost = False
         has_gap = not is_snapshot and self._has_revision_gap(reading)
         self._published_state.apply(
             reading, source='platform', after_outage=after_outage
--- a/packages/savoryyoke-gateway/tests/test_following.py
+++ b/packages/savoryyoke-gateway/tests/test_following.py
@@ -7,6 +7,7 @@
 import prometheus_client
 
 from savoryyoke.published import conf as published_conf
+from savoryyoke.published import exceptions as published_exceptions
 from savoryyoke.published import models
 
 from savoryyoke_gateway import following
@@ -44,6 +45,44 @@
         self.as_of = max(self.as_of, reading.as_of)
 
 
+class ForgetfulSource:
+    """Answer snapshots; report the history as lost for all changes."""
+
+    def __init__(self):
+        self.calls = 0
+
+    async def read_snapshot(self):
+        self.calls += 1
+        return models.Snapshot(as_of=models.Revision(number=1), items=())
+
+    async def read_changes(self, *, after, wait_s):
+        self.calls += 1
+        raise published_exceptions.HistoryLost('too old')
+
+
+class LostHistoryTests(unittest.TestCase):
+    CALLS_LIMIT = 12
+
+    def test_platform_without_history_gets_few_calls(self):
+        async def run():
+            source = ForgetfulSource()
+            follower = following.Follower(
+                source=source,
+                published_state=FakePublishedState(),
+                metrics=metrics.GatewayMetrics(
+                    registry=prometheus_client.CollectorRegistry()
+                ),
+                ask_peers=anyio.lowlevel.checkpoint,
+                choose_read_pause_s=lambda: 0.0,
+                choose_long_poll_s=lambda: published_conf.LONG_POLL_S,
+            )
+            with anyio.move_on_after(1.0):
+                await follower.run()
+            return source.calls
+
+        self.assertLessEqual(anyio.run(run), self.CALLS_LIMIT)
+
+
 class RestartTests(unittest.TestCase):
     def follow(self, *, wait_s, scenario):
         """Run ``scenario`` while a follower reads.
