Let streams wait longer for a group after an entry's start

Load: all VMs lose power and return together. Ruled out: 1.8 s (callers leave after 2 s without an event, and the first event takes up to 0.4 s). Test that failed first: platform test_starting test_request_waits_for_a_group_that_forms, with a group that opens after 1.3 s.

--- a/packages/savoryyoke-gateway/savoryyoke_gateway/forwarder.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/forwarder.py
@@ -265,6 +265,10 @@
         """
         if self._clock() - self._started_s > conf.START_OUTAGE_HOLD_S:
             return None
+        if call.is_stream:
+            return min(
+                call.arrived_s + conf.START_OUTAGE_WAIT_S, call.deadline_s
+            )
         return self._choose_wait_end_s(call, is_on_time=False)
 
     def _choose_wait_end_s(self, call, is_on_time):
