--- a/packages/savoryyoke/tests/published/test_restores.py
+++ b/packages/savoryyoke/tests/published/test_restores.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import unittest
+from unittest import mock
 
 import hypothesis
 from hypothesis import strategies
@@ -15,7 +16,11 @@
 CONFIG = 'config'
 CLOSURE = 'closed'
 PROFILE = hypothesis.settings(
-    derandomize=True, deadline=None, max_examples=300
+    derandomize=True,
+    deadline=None,
+    max_examples=300,
+    # Mutation tests run the same test on instances of their own.
+    suppress_health_check=[hypothesis.HealthCheck.differing_executors],
 )
 
 
@@ -315,3 +320,46 @@
             apply(number, platform.read())
             views[number].expire(now_s=now_s + UNVERSIONED_S)
             self.assertEqual(expected, read_values(views[number]))
+
+
+class MutationTests(unittest.TestCase):
+    """Check that the tests reveal views that lose what they accepted."""
+
+    def assert_caught(self, test, owner, name, mutant):
+        with mock.patch.object(owner, name, mutant):
+            result = test.run()
+        self.assertFalse(result.wasSuccessful())
+
+    def test_trusting_the_restored_platform(self):
+        self.assert_caught(
+            RestoredViewTests('test_accepted_state_is_kept'),
+            holds.ItemOrder,
+            'is_older',
+            lambda self, item, other: False,
+        )
+
+    def test_holding_the_configuration_for_a_limited_time(self):
+        self.assert_caught(
+            RestoredViewTests(
+                'test_held_state_ends_except_for_the_configuration'
+            ),
+            holds.ItemOrder,
+            'never_reverts',
+            lambda self, item: False,
+        )
+
+    def test_forgetting_removals(self):
+        self.assert_caught(
+            RestoredViewTests('test_accepted_state_is_kept'),
+            holds.Removals,
+            'find',
+            lambda self, key: None,
+        )
+
+    def test_ignoring_the_epoch(self):
+        self.assert_caught(
+            RandomOrderTests('test_epochs_and_versions_never_fall'),
+            models.Revision,
+            '__lt__',
+            lambda self, other: self.number < other.number,
+        )
