Decide a request's wait in one loop, also if its timer fires early

Found on reading the diff: since requests have a second end of their wait, the loop ended once the clock had passed it, though the tick just before was a nanosecond too early to decide. The request then had no decision (None), and its entry failed it with an exception. Cause: a timer may fire within the clock's resolution before its end, and the end was checked after the tick instead of before it. Change: one loop until there is a decision; each turn waits for the next end. Test that failed first: gateway test_dispatching EarlyTimerTests.

--- a/packages/savoryyoke-gateway/savoryyoke_gateway/dispatching.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/dispatching.py
@@ -193,10 +193,11 @@
         self._waiters_by_id[arrival.request_id] = waiter
         try:
             self._apply(service_dispatcher, arrival)
-            for end_s in (arrival.wait_until_s, arrival.outage_wait_until_s):
-                await self._wait_for_decision(
-                    service_dispatcher, waiter, end_s
-                )
+            while waiter.decision is None:
+                with anyio.move_on_after(self._time_to_next_end_s(arrival)):
+                    await waiter.decided.wait()
+                if waiter.decision is None:
+                    self._apply(service_dispatcher, events.Ticked())
             return waiter.decision
         except BaseException:
             self._withdraw_request(
@@ -206,22 +207,18 @@
         finally:
             del self._waiters_by_id[arrival.request_id]
 
-    async def _wait_for_decision(self, service_dispatcher, waiter, end_s):
-        """Wait for a decision until ``end_s``, then make those that are due.
-
-        Do nothing if ``end_s`` is None.
-        """
-        if end_s is None:
-            return
-        while waiter.decision is None:
-            wait_s = end_s - self._clock()
-            with anyio.move_on_after(max(wait_s, 0)):
-                await waiter.decided.wait()
-            if waiter.decision is not None:
-                return
-            self._apply(service_dispatcher, events.Ticked())
-            if self._clock() >= end_s:
-                return
+    def _time_to_next_end_s(self, arrival):
+        """Return the seconds until a request's wait may end; 0 if it has."""
+        now_s = self._clock()
+        ends_s = (arrival.wait_until_s, arrival.outage_wait_until_s)
+        return min(
+            (
+                end_s - now_s
+                for end_s in ends_s
+                if end_s is not None and end_s > now_s
+            ),
+            default=0.0,
+        )
 
     def place_retry(self, service_name, event):
         """Return the decision on a further try of a request.
--- a/packages/savoryyoke-gateway/tests/test_dispatching.py
+++ b/packages/savoryyoke-gateway/tests/test_dispatching.py
@@ -1,5 +1,6 @@
 """Test that all entries together limit the requests to a cold target."""
 
+import dataclasses
 import random
 import unittest
 
@@ -129,3 +130,39 @@
             with self.subTest(entries=entries):
                 _, total = self.play(entries)
                 self.assertGreater(total / SECONDS, RATE_PER_S / 2)
+
+
+class EarlyTimerTests(unittest.TestCase):
+    """Test a wait whose timer fires just before its end."""
+
+    WAIT_UNTIL_S = 0.01
+    # The clock at the arrival, as the wait begins, at the tick after it, which
+    # is too early by a nanosecond, and after that.
+    TIMES_S = (0.0, 0.0, WAIT_UNTIL_S - 1e-9)
+
+    def test_request_for_a_full_target_is_decided(self):
+        times_s = [0.0, *self.TIMES_S]
+        entry = dispatching.Dispatching(
+            own_data_centre='dc-a',
+            random_fraction=lambda: 0.5,
+            clock=lambda: times_s.pop(0) if times_s else 1.0,
+            metrics=metrics.GatewayMetrics(
+                registry=prometheus_client.CollectorRegistry()
+            ),
+        )
+        entry.update_targets(
+            services_by_name={
+                's': dataclasses.replace(SERVICE, cold_limit=None)
+            },
+            targets=[dataclasses.replace(TARGET, slots=0)],
+            entry_count=1,
+        )
+        arrival = events.RequestArrived(
+            request_id='r',
+            is_on_time=True,
+            priority=0,
+            wait_until_s=self.WAIT_UNTIL_S,
+            time_left_s=1.0,
+        )
+        decision = anyio.run(entry.place, 's', arrival)
+        self.assertIsInstance(decision, decisions.Refuse)
