Write a restored store again only after restarted entries were probed

The run wrote the lost versions again 2.5 s after the restore, however long the restarted entry took to start.

Ruled out: a mutant that copies from peers after all. In the runs alone the restarted entry lacks version 2 in each probe until the store is written again.

Change: the drill waits, for START_TIMEOUT_S at most, until each entry that started since the loss has answered a probe for a lost version. The check and the mutant stay as they are.

--- a/packages/savoryyoke-soak/savoryyoke_soak/runner.py
+++ b/packages/savoryyoke-soak/savoryyoke_soak/runner.py
@@ -292,6 +292,7 @@
         store.status = None
         restored_s = time.monotonic()
         await anyio.sleep(conf.REWRITE_DELAY_S)
+        await self._wait_for_probes(version + 1, since_s=lost_s)
         self._fleet.publish_all_again()
         self._restores_running -= 1
         self.record_trouble('store-restored', 'store', lost_s)
@@ -304,6 +305,32 @@
             )
         )
 
+    async def _wait_for_probes(self, first_lost_version, *, since_s):
+        """Wait until probes asked restarted entries for a lost version.
+
+        On a busy machine an entry may take seconds to start. Entries that do
+        not answer within ``conf.START_TIMEOUT_S`` are not waited for.
+        """
+        if first_lost_version > self._fleet.version:
+            return
+        with anyio.move_on_after(conf.START_TIMEOUT_S):
+            while self._find_unprobed_entries(first_lost_version, since_s):
+                await anyio.sleep(0.05)
+
+    def _find_unprobed_entries(self, first_lost_version, since_s):
+        """Return starting entries, and started ones without such a probe."""
+        probed_incarnations = {
+            probe.incarnation
+            for probe in self._history.probes
+            if probe.version >= first_lost_version
+        }
+        return [
+            entry
+            for entry in self._fleet.entries
+            if entry.started_s > since_s
+            and (entry.is_busy or entry.incarnation not in probed_incarnations)
+        ]
+
     async def _send_store_garbage(self, fault):
         self._fleet.store.garbage = b'{"AsOf": '
 
--- a/packages/savoryyoke-soak/tests/test_soak.py
+++ b/packages/savoryyoke-soak/tests/test_soak.py
@@ -30,7 +30,8 @@
     'not-run': RESETS,
     'restored': (
         build_fault('store-restore', at_s=0.1, for_s=4.0),
-        build_fault('kill', at_s=3.6, for_s=0.6),
+        # The entry starts while the store is away.
+        build_fault('kill', at_s=3.6, for_s=0.7),
     ),
     'leaving': (build_fault('drain-target'),),
     'announced': (build_fault('leaving-target', at_s=0.2),),
