Let streams on a slow rank wait for a slot elsewhere

If all others are full at that moment, it stays, and every pass of the group takes as long as that rank until its caller leaves; queued requests take each slot that becomes free.

Change: such a stream waits for a slot and is placed before queued requests. Its old try counts as one that may have run, also before its first event.

The test (FullGroupTests) failed first: no stream moved.

--- a/packages/savoryyoke-agent/savoryyoke_agent/balancer.py
+++ b/packages/savoryyoke-agent/savoryyoke_agent/balancer.py
@@ -21,8 +21,8 @@
     ``contents`` stores the maps that this agent has received. ``clock``
     returns seconds.
 
-    Planning takes some 50 ms for each set of experts on the smallest VMs; other
-    tasks of the process run after each step of it.
+    Planning takes some 50 ms for each set of experts on the smallest VMs.
+    Other tasks of the process run after each step of it.
     """
 
     def __init__(self, *, clock, policy=None):
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/calls.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/calls.py
@@ -69,11 +69,10 @@
     """Hold the state of one try; its times are on the entry's clock.
 
     ``sent_s`` is when the request was sent and ``head_s`` when the head of
-    the answer arrived. ``was_move_tried`` is true once the entry has looked
-    for a faster target for a stream. ``last_progress_s`` is when the request
-    was sent or last brought events. ``is_awaiting_data`` is true while no
-    received data is left to forward. ``move`` is the placement at which a
-    silent stream continues.
+    the answer arrived. ``last_progress_s`` is when the request was sent
+    or last brought events. ``is_awaiting_data`` is true while no received data
+    is left to forward. ``move`` is the placement at which a stream continues
+    that leaves its target.
     """
 
     started_s: float
@@ -81,7 +80,6 @@
     head_s: float | None = None
     result: placement_models.TryResult = placement_models.TryResult.WITHDRAWN
     reason: str = ''
-    was_move_tried: bool = False
     last_progress_s: float | None = None
     is_awaiting_data: bool = False
     move: Move | None = None
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/conf.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/conf.py
@@ -8,9 +8,11 @@
 # callers abandon a stream that has been silent for 2 s.
 STREAM_SILENCE_TIMEOUT_S = 1.8
 
-# Interval at which a silent stream looks for another target. Capacity can
-# become free after each pass of an engine.
-SILENCE_CHECK_INTERVAL_S = 0.1
+# Interval at which an entry checks whether a stream should leave its target.
+STREAM_CHECK_INTERVAL_S = 0.1
+
+# Time that a stream waits for a target to move to before it is checked again.
+MOVE_WAIT_S = 1.0
 
 # A target is too slow if an answer that is no stream is incomplete this long
 # after its head. The users' answers fit into one packet.
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/dispatching.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/dispatching.py
@@ -184,6 +184,8 @@
     async def place(self, service_name, arrival):
         """Return the decision on a request, waiting until there is one.
 
+        ``arrival`` is a ``RequestArrived`` or ``MoveRequested``.
+
         If the caller of this method is cancelled, the request is withdrawn.
         """
         service_dispatcher = self._dispatchers_by_service.get(service_name)
@@ -210,13 +212,8 @@
     def _time_to_next_end_s(self, arrival):
         """Return the seconds until a request's wait may end; 0 if it has."""
         now_s = self._clock()
-        ends_s = (arrival.wait_until_s, arrival.outage_wait_until_s)
         return min(
-            (
-                end_s - now_s
-                for end_s in ends_s
-                if end_s is not None and end_s > now_s
-            ),
+            (end_s - now_s for end_s in arrival.wait_ends_s if end_s > now_s),
             default=0.0,
         )
 
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/forwarder.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/forwarder.py
@@ -70,7 +70,7 @@
                 dispatching=dispatching,
                 translator=translator,
                 reporter=self._reporter,
-                place_retry=self._place_retry,
+                place_move=self._place_move,
                 crashes=crashes,
                 suspects=suspects,
                 clock=clock,
@@ -292,15 +292,9 @@
         If there is none, ``call.reason`` states why.
         """
         time_left_s = call.deadline_s - self._clock()
-        if time_left_s < forwarding_conf.SHORTEST_TRY_S:
-            call.reason = 'no-time'
-            return None
-        if self._is_quarantined(call):
-            return None
-        if decision.is_repeat and not self._allowances.has_token(
-            call.service_name
-        ):
-            call.reason = 'retry-limit'
+        obstacle = self._find_obstacle(call, decision, time_left_s)
+        if obstacle is not None:
+            call.reason = obstacle
             return None
         placement = self._request_retry_placement(call, decision, time_left_s)
         if isinstance(placement, placement_decisions.Refuse):
@@ -312,6 +306,46 @@
             self._allowances.withdraw(call.service_name)
         return placement
 
+    def _find_obstacle(self, call, decision, time_left_s):
+        """Return why a further try is not allowed, or None if it is."""
+        if time_left_s < forwarding_conf.SHORTEST_TRY_S:
+            return 'no-time'
+        if self._is_quarantined(call):
+            return call.reason
+        if decision.is_repeat and not self._allowances.has_token(
+            call.service_name
+        ):
+            return 'retry-limit'
+        return None
+
+    async def _place_move(self, call, decision):
+        """Return the placement of a stream that leaves its target, or None.
+
+        Wait for a free target for ``MOVE_WAIT_S`` at most.
+        """
+        now_s = self._clock()
+        time_left_s = call.deadline_s - now_s
+        if self._find_obstacle(call, decision, time_left_s) is not None:
+            return None
+        placement = await self._dispatching.place(
+            call.service_name,
+            placement_events.MoveRequested(
+                request_id=call.placement_id,
+                tried_target_ids=decision.tried_target_ids,
+                wait_until_s=now_s + min(conf.MOVE_WAIT_S, time_left_s),
+                time_left_s=time_left_s,
+                regions=call.regions,
+                withheld_releases=call.withheld_releases,
+            ),
+        )
+        if isinstance(placement, placement_decisions.Refuse):
+            return None
+        # The last token may have been withdrawn during the wait.
+        if not self._allowances.withdraw(call.service_name):
+            self._dispatching.withdraw_placement(call.service_name, placement)
+            return None
+        return placement
+
     def _place_hedge(self, call, decision, *, is_lost):
         """Return the placement of a concurrent second try, or None."""
         time_left_s = call.deadline_s - self._clock()
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/tries.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/tries.py
@@ -21,7 +21,8 @@
 class TryRunner:
     """Send requests to targets and evaluate the answers.
 
-    ``place_retry(call, decision)`` returns a further placement, or None.
+    ``place_move(call, decision)`` waits for a free target that a stream can
+    move to and returns the placement, or None.
     """
 
     def __init__(
@@ -30,7 +31,7 @@
         dispatching,
         translator,
         reporter,
-        place_retry,
+        place_move,
         crashes,
         suspects,
         clock,
@@ -38,7 +39,7 @@
         self._dispatching = dispatching
         self._translator = translator
         self._reporter = reporter
-        self._place_retry = place_retry
+        self._place_move = place_move
         self._crashes = crashes
         self._suspects = suspects
         self._clock = clock
@@ -56,7 +57,7 @@
         attempt = calls.Attempt(started_s=self._clock())
         try:
             if call.is_stream and call.route.may_repeat:
-                return await self._exchange_with_silence_watch(
+                return await self._exchange_with_watch(
                     call, target, exchange, attempt, resume_after
                 )
             return await self._exchange(
@@ -66,14 +67,14 @@
             await exchange.aclose()
             self._end_try(call, target, attempt)
 
-    async def _exchange_with_silence_watch(
+    async def _exchange_with_watch(
         self, call, target, exchange, attempt, resume_after
     ):
-        """Carry out a try that ends early if its silent stream is moved."""
+        """Carry out a try that ends early if its stream is moved."""
         decision = None
         async with anyio.create_task_group() as group:
             group.start_soon(
-                self._watch_silence, call, target, attempt, group.cancel_scope
+                self._watch_stream, call, target, attempt, group.cancel_scope
             )
             decision = await self._exchange(
                 call, target, exchange, attempt, resume_after
@@ -86,32 +87,55 @@
             )
         return decision or attempt.move
 
-    async def _watch_silence(self, call, target, attempt, scope):
-        """Move a silent stream once another target is available.
+    async def _watch_stream(self, call, target, attempt, scope):
+        """Move a stream that is silent or that a slow target runs.
 
-        Until then it stays at its target.
+        The new placement is made before the stream leaves its target, so a
+        stream that finds no other target stays where it is.
         """
-        move = None
-        while move is None:
-            last_progress_s = attempt.last_progress_s or attempt.started_s
-            wait_s = (
-                last_progress_s + conf.STREAM_SILENCE_TIMEOUT_S - self._clock()
-            )
-            await anyio.sleep(max(wait_s, conf.SILENCE_CHECK_INTERVAL_S))
-            if (
-                not attempt.is_awaiting_data
-                or attempt.last_progress_s > last_progress_s
-            ):
+        while attempt.move is None:
+            await anyio.sleep(self._time_to_check_s(attempt))
+            if self._find_move_reason(call, target, attempt) is None:
+                continue
+            move = await self._find_move(call)
+            if move is None:
+                continue
+            reason = self._find_move_reason(call, target, attempt)
+            if reason is None:
+                self._dispatching.withdraw_placement(
+                    call.service_name, move.placement
+                )
                 continue
-            move = self._find_move(call)
-        attempt.result = _Result.TIMED_OUT
-        attempt.reason = 'silent'
-        attempt.move = move
+            attempt.move, attempt.reason = move, reason
         call.ledger.apply(
-            events.TryBroken(target_id=target.target_id, reason='silent')
+            events.TryBroken(target_id=target.target_id, reason=attempt.reason)
         )
+        if attempt.reason == 'silent':
+            attempt.result = _Result.TIMED_OUT
         scope.cancel()
-        self._crashes.record_silent_try(call, target)
+        if attempt.reason == 'silent':
+            self._crashes.record_silent_try(call, target)
+
+    def _time_to_check_s(self, attempt):
+        """Return the seconds until a stream is checked again."""
+        if not attempt.is_awaiting_data:
+            return conf.STREAM_CHECK_INTERVAL_S
+        silent_s = self._clock() - attempt.last_progress_s
+        time_to_silence_s = conf.STREAM_SILENCE_TIMEOUT_S - silent_s
+        if time_to_silence_s <= 0:
+            return conf.STREAM_CHECK_INTERVAL_S
+        return min(time_to_silence_s, conf.STREAM_CHECK_INTERVAL_S)
+
+    def _find_move_reason(self, call, target, attempt):
+        """Return why a stream should leave its target now, or None."""
+        if not attempt.is_awaiting_data:
+            return None
+        if self._dispatching.slows_group_down(
+            call.service_name, target.target_id
+        ):
+            return 'slow-target'
+        silent_s = self._clock() - attempt.last_progress_s
+        return 'silent' if silent_s >= conf.STREAM_SILENCE_TIMEOUT_S else None
 
     async def _exchange(self, call, target, exchange, attempt, resume_after):
         target_id = target.target_id
@@ -224,7 +248,7 @@
     ):
         """Forward each event of a stream once it is complete.
 
-        Return the decision at the end of the stream, or a ``calls.Move``.
+        Return the decision at the end of the stream.
         """
         splitter = framing.EventSplitter(last_event_id=resume_after)
         async for part in exchange.read():
@@ -235,9 +259,6 @@
             await self._forward_events(call, target, head, complete_events)
             attempt.last_progress_s = self._clock()
             attempt.is_awaiting_data = True
-            move = self._choose_move(call, target, attempt)
-            if move is not None:
-                return move
         attempt.is_awaiting_data = False
         if splitter.has_partial_event:
             raise exceptions.ExchangeBroken('torn')
@@ -245,29 +266,12 @@
         attempt.result = _Result.ANSWERED
         return call.ledger.apply(events.StreamEnded())
 
-    def _choose_move(self, call, target, attempt):
-        """Return the move of a stream whose target slows down its group.
-
-        Return None if no move is needed or possible. The new placement is
-        made before the stream leaves its target, so a stream that finds no
-        other target continues where it is.
-        """
-        if attempt.was_move_tried or not self._dispatching.slows_group_down(
-            call.service_name, target.target_id
-        ):
-            return None
-        attempt.was_move_tried = True
-        move = self._find_move(call)
-        if move is not None:
-            attempt.reason = 'slow-target'
-        return move
-
-    def _find_move(self, call):
+    async def _find_move(self, call):
         """Return a move of a stream to another target, or None."""
         decision = call.ledger.apply(events.TargetSlow())
         if decision is None:
             return None
-        placement = self._place_retry(call, decision)
+        placement = await self._place_move(call, decision)
         if placement is None:
             return None
         return calls.Move(placement=placement, decision=decision)
--- a/packages/savoryyoke/savoryyoke/placement/dispatcher.py
+++ b/packages/savoryyoke/savoryyoke/placement/dispatcher.py
@@ -19,17 +19,19 @@
     """Hold a queued request; a lower ``rank`` is placed earlier."""
 
     rank: tuple
-    arrival: events.RequestArrived
+    arrival: events.RequestArrived | events.MoveRequested
+    excluded_target_ids: frozenset[str] = frozenset()
 
 
 class Dispatcher:
     """Own the queue of one service at one entry.
 
     While targets have free capacity, a request is placed at once. Under
-    overload, requests that can still meet their objective are placed before
-    the others. A request that is not expected to leave the queue before its
-    wait ends is refused on arrival, with a retry time that spreads callers
-    out.
+    overload, streams that should leave their target are placed first, then
+    requests that can still meet their objective, then the others.
+
+    A request that is not expected to leave the queue before its wait ends is
+    refused on arrival, with a retry time that spreads callers out.
 
     While no target is in service, for example while a group of engines
     restarts, new requests are refused with a retry time at which the group
@@ -139,7 +141,7 @@
             regions=event.regions, withheld_releases=event.withheld_releases
         ):
             return self._handle_no_service(event, now_s)
-        waiting = self._enqueue(event, now_s)
+        waiting = self._enqueue(event)
         decided = self._process_queue(now_s)
         if waiting in self._queue and self._would_wait_too_long(
             waiting, now_s
@@ -148,6 +150,17 @@
             decided.append(self._refuse(event, _Reason.QUEUE_TOO_LONG))
         return decided
 
+    @_apply.register
+    def _(self, event: events.MoveRequested, now_s):
+        self._insert(
+            event,
+            is_move=True,
+            is_on_time=True,
+            priority=0,
+            excluded_target_ids=event.tried_target_ids,
+        )
+        return self._process_queue(now_s)
+
     def _handle_no_service(self, event, now_s):
         if not self._pool.has_possible_target(regions=event.regions):
             return [self._refuse(event, _Reason.NO_TARGET)]
@@ -157,13 +170,32 @@
             )
         elif event.is_on_time:
             return [self._refuse(event, _Reason.NO_TARGET)]
-        self._enqueue(event, now_s)
+        self._enqueue(event)
         return ()
 
-    def _enqueue(self, event, now_s):
+    def _enqueue(self, event):
+        return self._insert(
+            event,
+            is_move=False,
+            is_on_time=event.is_on_time,
+            priority=event.priority,
+        )
+
+    def _insert(
+        self,
+        event,
+        *,
+        is_move,
+        is_on_time,
+        priority,
+        excluded_target_ids=frozenset(),
+    ):
         self._sequence += 1
-        rank = (not event.is_on_time, event.priority, self._sequence)
-        waiting = _Waiting(rank=rank, arrival=event)
+        waiting = _Waiting(
+            rank=(not is_move, not is_on_time, priority, self._sequence),
+            arrival=event,
+            excluded_target_ids=excluded_target_ids,
+        )
         bisect.insort(self._queue, waiting, key=lambda queued: queued.rank)
         return waiting
 
@@ -179,6 +211,7 @@
             target = self._pool.choose(
                 now_s=now_s,
                 regions=arrival.regions,
+                excluded=waiting.excluded_target_ids,
                 withheld_releases=arrival.withheld_releases,
             )
             if target is None and self._is_paused_beyond_wait(arrival, now_s):
--- a/packages/savoryyoke/savoryyoke/placement/events.py
+++ b/packages/savoryyoke/savoryyoke/placement/events.py
@@ -51,6 +51,13 @@
     regions: frozenset[str] = frozenset()
     withheld_releases: frozenset[str] = frozenset()
 
+    @property
+    def wait_ends_s(self):
+        """Return the times at which the wait may end."""
+        if self.outage_wait_until_s is None:
+            return (self.wait_until_s,)
+        return (self.wait_until_s, self.outage_wait_until_s)
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class RetryRequested:
@@ -66,6 +73,28 @@
     withheld_releases: frozenset[str] = frozenset()
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class MoveRequested:
+    """Request another target for a stream that should leave its target.
+
+    It is placed before all queued requests: it has begun, and a slow target
+    delays the streams of all other targets of its group. The other fields are
+    those of ``RequestArrived`` and ``RetryRequested``.
+    """
+
+    request_id: str
+    tried_target_ids: frozenset[str]
+    wait_until_s: float
+    time_left_s: float
+    regions: frozenset[str] = frozenset()
+    withheld_releases: frozenset[str] = frozenset()
+
+    @property
+    def wait_ends_s(self):
+        """Return the times at which the wait may end."""
+        return (self.wait_until_s,)
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class RequestWithdrawn:
     """Report that a queued request no longer needs a target."""
