Switch to a map with the next pass if passes are long

Hypothesis: two passes ahead are too many where a pass takes 0.33 s, and 0.2 s of lead are more than arming needs (0.04 s in the logs); if a rank is armed late, the group is held for that long only.

--- a/packages/savoryyoke/savoryyoke/groups/rollout/conf.py
+++ b/packages/savoryyoke/savoryyoke/groups/rollout/conf.py
@@ -4,8 +4,8 @@
 # exchange of datagrams and one order, about 20 ms, and engines are observed
 # every 30 ms, so passes seldom have to wait for the hold to be released.
 # Passes take 40 to 100 ms, or 500 ms if a rank is slow.
-SWITCH_LEAD_TIME_S = 0.2
-MIN_PASSES_AHEAD = 2
+SWITCH_LEAD_TIME_S = 0.1
+MIN_PASSES_AHEAD = 1
 MAX_PASSES_AHEAD = 4
 
 # A rank becomes leader after this time without a directive, plus the second
