Detect shifts of demand by the distances that are usual

Cause: the threshold of a shift was a constant, 0.3. Plans were made for a mixture of old and new demand, 1.5 to 2.7 s after the shift, and again and again. Ruled out: too small a sample (after a plan the peak stays below 1.2 until the next shift).

Change: a shift is a distance of 1.6 times the largest of the last three seconds. Choices of the older half of the window are dropped with the baseline, since a shift is detected before the window is full.

The test plays demand of 252 experts; with the constant no shift is detected.

--- a/packages/savoryyoke/savoryyoke/groups/balancing/conf.py
+++ b/packages/savoryyoke/savoryyoke/groups/balancing/conf.py
@@ -32,11 +32,22 @@
 # available after a change of the leader.
 MAX_STORED_MAPS = 4
 
-# In the users' workload demand shifts every three to four seconds. Between
-# shifts, the demand of 0.3 s differs from the demand before it by a total
-# variation distance of 0.05 to 0.2; across a shift, by 0.35 to 0.5.
+# Demand may shift every few seconds. The recent demand, over this time, is
+# compared with the demand before it by their total variation distance.
 RECENT_WINDOW_S = 0.3
-MIN_SHIFT_DISTANCE = 0.3
+# A shift is a distance of this many times the largest usual one, which is that
+# of the latest observations without a shift.
+SHIFT_DISTANCE_RATIO = 1.6
+USUAL_DISTANCES = 30
+# Fewer observations don't show what is usual.
+MIN_USUAL_DISTANCES = 5
+# A smaller shift hardly changes the load of any rank.
+MIN_SHIFT_DISTANCE = 0.06
+# Smallest distance of a shift until usual distances have been observed.
+DEFAULT_SHIFT_DISTANCE = 0.3
+# A baseline of fewer choices than this many times the recent ones is too small
+# a sample to tell what is usual.
+SETTLED_BASELINE_RATIO = 3.0
 # Time in which earlier choices lose half of their weight.
 BASELINE_HALF_LIFE_S = 4.0
 
--- a/packages/savoryyoke/savoryyoke/groups/balancing/demand.py
+++ b/packages/savoryyoke/savoryyoke/groups/balancing/demand.py
@@ -7,6 +7,7 @@
 import collections
 
 from savoryyoke.groups.balancing import conf
+from savoryyoke.groups.balancing import shifts
 
 
 class ChoiceCounter:
@@ -67,20 +68,12 @@
         self._baseline = [0.0] * (sets * experts)
         self._baseline_s = None
         self.shift_distance = None
-        self._shift_times_s = collections.deque(
-            maxlen=conf.OBSERVED_SHIFT_INTERVALS + 1
-        )
+        self._shifts = shifts.ShiftDetector()
 
     @property
     def mean_life_s(self):
-        """Return the mean time between the latest shifts, in seconds.
-
-        It is ``DEMAND_LIFE_S`` until two shifts have been detected.
-        """
-        intervals = len(self._shift_times_s) - 1
-        if intervals < 1:
-            return conf.DEMAND_LIFE_S
-        return (self._shift_times_s[-1] - self._shift_times_s[0]) / intervals
+        """Return the mean time between shifts of demand, in seconds."""
+        return self._shifts.mean_life_s
 
     def add(self, choices, *, now_s):
         """Add the number of choices of each expert, set by set.
@@ -98,12 +91,9 @@
         the baseline, from 0 to 1; otherwise it is None.
         """
         self._move_expired_to_baseline(now_s)
-        recent_counts = [0] * len(self._baseline)
-        for _, choices in self._recent:
-            recent_counts = list(map(int.__add__, recent_counts, choices))
-        self._drop_baseline_after_shift(recent_counts, now_s)
+        self._drop_choices_before_shift(now_s)
         total_counts = list(
-            map(float.__add__, self._baseline, map(float, recent_counts))
+            map(float.__add__, self._baseline, self._sum_recent())
         )
         if not self._is_enough(total_counts):
             return None
@@ -130,8 +120,15 @@
             self._baseline = [decay_factor * count for count in self._baseline]
         self._baseline_s = now_s
 
-    def _drop_baseline_after_shift(self, recent_counts, now_s):
+    def _sum_recent(self):
+        recent_counts = [0] * len(self._baseline)
+        for _, choices in self._recent:
+            recent_counts = list(map(int.__add__, recent_counts, choices))
+        return list(map(float, recent_counts))
+
+    def _drop_choices_before_shift(self, now_s):
         self.shift_distance = None
+        recent_counts = self._sum_recent()
         if not self._is_enough(recent_counts) or not self._is_enough(
             self._baseline
         ):
@@ -147,21 +144,24 @@
             )
         ]
         mean_distance = sum(distances) / len(distances)
-        if mean_distance >= conf.MIN_SHIFT_DISTANCE:
+        is_settled = sum(self._baseline) >= conf.SETTLED_BASELINE_RATIO * sum(
+            recent_counts
+        )
+        if self._shifts.is_shift(
+            mean_distance, is_settled=is_settled, now_s=now_s
+        ):
             self.shift_distance = mean_distance
             self._baseline = [0.0] * len(self._baseline)
-            self._record_shift(now_s)
+            self._drop_mixed_choices(now_s)
 
-    def _record_shift(self, now_s):
-        """Record a shift, unless it is one that is detected again.
+    def _drop_mixed_choices(self, now_s):
+        """Drop the older half of the recent choices.
 
-        A shift may be detected until it fills the recent window.
+        A shift is detected before the choices since then fill the window.
         """
-        if (
-            not self._shift_times_s
-            or now_s - self._shift_times_s[-1] > 2 * conf.RECENT_WINDOW_S
-        ):
-            self._shift_times_s.append(now_s)
+        oldest_s = now_s - conf.RECENT_WINDOW_S / 2
+        while self._recent and self._recent[0][0] < oldest_s:
+            self._recent.popleft()
 
     def _is_enough(self, counts):
         return sum(counts) >= conf.MIN_CHOICES_PER_SET * self._sets
--- /dev/null
+++ b/packages/savoryyoke/savoryyoke/groups/balancing/shifts.py
@@ -0,0 +1,69 @@
+"""Detect abrupt shifts of the demand for experts."""
+
+import collections
+
+from savoryyoke.groups.balancing import conf
+
+
+class ShiftDetector:
+    """Detect when the recent demand differs from the earlier demand.
+
+    How much the demand of some tenths of a second differs from that of several
+    seconds without a shift depends on the number of requests and on how
+    unevenly they choose experts. A distance is therefore a shift if it clearly
+    exceeds the distances before it.
+    """
+
+    def __init__(self):
+        self._usual_distances = collections.deque(maxlen=conf.USUAL_DISTANCES)
+        self._shift_times_s = collections.deque(
+            maxlen=conf.OBSERVED_SHIFT_INTERVALS + 1
+        )
+
+    @property
+    def min_distance(self):
+        """Return the total variation distance from which on demand shifts."""
+        if len(self._usual_distances) < conf.MIN_USUAL_DISTANCES:
+            return conf.DEFAULT_SHIFT_DISTANCE
+        return max(
+            conf.MIN_SHIFT_DISTANCE,
+            conf.SHIFT_DISTANCE_RATIO * max(self._usual_distances),
+        )
+
+    @property
+    def mean_life_s(self):
+        """Return the mean time between the latest shifts, in seconds.
+
+        It is ``DEMAND_LIFE_S`` until two shifts have been detected.
+        """
+        intervals = len(self._shift_times_s) - 1
+        if intervals < 1:
+            return conf.DEMAND_LIFE_S
+        return (self._shift_times_s[-1] - self._shift_times_s[0]) / intervals
+
+    def is_shift(self, distance, *, is_settled, now_s):
+        """Record the distance of two demands; return whether it is a shift.
+
+        ``is_settled`` is false while the earlier demand is known from so few
+        choices that its distance to the recent one is a poor measure.
+        """
+        min_distance = conf.DEFAULT_SHIFT_DISTANCE
+        if is_settled:
+            min_distance = self.min_distance
+        if distance >= min_distance:
+            self._record_shift(now_s)
+            return True
+        if is_settled:
+            self._usual_distances.append(distance)
+        return False
+
+    def _record_shift(self, now_s):
+        """Record a shift, unless it is one that is detected again.
+
+        A shift may be detected until it fills the recent window.
+        """
+        if (
+            not self._shift_times_s
+            or now_s - self._shift_times_s[-1] > 2 * conf.RECENT_WINDOW_S
+        ):
+            self._shift_times_s.append(now_s)
--- a/packages/savoryyoke/tests/groups/balancing/test_balancing.py
+++ b/packages/savoryyoke/tests/groups/balancing/test_balancing.py
@@ -369,6 +369,63 @@
         self.assertIsNone(self.estimator.estimate(now_s=0.1))
 
 
+class ModerateShiftTests(unittest.TestCase):
+    """Shift demand that many experts share, as in groups of many ranks.
+
+    The choices before and after a shift differ less than those of a small
+    group may differ from one moment to the next.
+    """
+
+    EXPERTS = 252
+    SHIFT_EVERY_S = 4.0
+
+    def make_weights(self, seed):
+        weights = [
+            1 / (popularity + 1) ** 0.66 for popularity in range(self.EXPERTS)
+        ]
+        random.Random(seed).shuffle(weights)
+        return [weight / sum(weights) for weight in weights]
+
+    def simulate(self, *, shifts):
+        """Return the times at which shifts are detected, and the estimator."""
+        random_source = random.Random(5)
+        estimator = demand.DemandEstimator(sets=1, experts=self.EXPERTS)
+        common = self.make_weights(0)
+        detected_s = []
+        for tick in range(round(10 * shifts * self.SHIFT_EVERY_S)):
+            now_s = tick / 10
+            topical = self.make_weights(1 + int(now_s / self.SHIFT_EVERY_S))
+            choices = [
+                round(
+                    1e6
+                    * (0.7 * by_common + 0.3 * by_topic)
+                    * random_source.gammavariate(200, 1 / 200)
+                )
+                for by_common, by_topic in zip(common, topical, strict=True)
+            ]
+            estimator.add(choices, now_s=now_s)
+            estimator.estimate(now_s=now_s)
+            if estimator.shift_distance is not None:
+                self.assertLess(
+                    estimator.shift_distance, conf.DEFAULT_SHIFT_DISTANCE
+                )
+                detected_s.append(now_s)
+        return detected_s, estimator
+
+    def test_each_shift_is_detected_once_and_soon(self):
+        detected_s, estimator = self.simulate(shifts=4)
+        shift_times_s = [self.SHIFT_EVERY_S * number for number in (1, 2, 3)]
+        self.assertEqual(len(shift_times_s), len(detected_s))
+        for shift_s, noticed_s in zip(shift_times_s, detected_s, strict=True):
+            self.assertLessEqual(noticed_s - shift_s, 0.4)
+        self.assertAlmostEqual(
+            self.SHIFT_EVERY_S, estimator.mean_life_s, delta=0.3
+        )
+
+    def test_no_shift_is_detected_without_one(self):
+        self.assertEqual([], self.simulate(shifts=1)[0])
+
+
 class ChoiceCounterTests(unittest.TestCase):
     def setUp(self):
         self.counter = demand.ChoiceCounter()
