Let a distance count as usual only after some tenths of a second

The first distances after a shift raised the threshold that the next ones had to exceed: the third of three shifts of the test went unnoticed.

--- a/packages/savoryyoke/savoryyoke/groups/balancing/shifts.py
+++ b/packages/savoryyoke/savoryyoke/groups/balancing/shifts.py
@@ -16,6 +16,8 @@
 
     def __init__(self):
         self._usual_distances = collections.deque(maxlen=conf.USUAL_DISTANCES)
+        # Distances that may belong to a shift that has just begun.
+        self._new_distances = collections.deque()
         self._shift_times_s = collections.deque(
             maxlen=conf.OBSERVED_SHIFT_INTERVALS + 1
         )
@@ -51,12 +53,19 @@
         if is_settled:
             min_distance = self.min_distance
         if distance >= min_distance:
+            self._new_distances.clear()
             self._record_shift(now_s)
             return True
         if is_settled:
-            self._usual_distances.append(distance)
+            self._record_distance(distance, now_s)
         return False
 
+    def _record_distance(self, distance, now_s):
+        """Record a distance as usual once it is clear that no shift began."""
+        self._new_distances.append((now_s, distance))
+        while now_s - self._new_distances[0][0] > conf.RECENT_WINDOW_S:
+            self._usual_distances.append(self._new_distances.popleft()[1])
+
     def _record_shift(self, now_s):
         """Record a shift, unless it is one that is detected again.
 
--- a/packages/savoryyoke/tests/groups/balancing/test_balancing.py
+++ b/packages/savoryyoke/tests/groups/balancing/test_balancing.py
@@ -398,7 +398,7 @@
             choices = [
                 round(
                     1e6
-                    * (0.7 * by_common + 0.3 * by_topic)
+                    * (0.5 * by_common + 0.5 * by_topic)
                     * random_source.gammavariate(200, 1 / 200)
                 )
                 for by_common, by_topic in zip(common, topical, strict=True)
