Send a new map as its changes to the map in use

Hypothesis: the map's size delays its way to the ranks of a large group (1.0 s from the plan until all have prepared it, 80 requests for it). A rank that lacks the earlier map asks for the whole one. Old builds ignore the new message and ask as well.

--- a/packages/savoryyoke-agent/savoryyoke_agent/conf.py
+++ b/packages/savoryyoke-agent/savoryyoke_agent/conf.py
@@ -32,10 +32,11 @@
 PACED_LINK_SHARE = 0.75
 
 # How long a rank waits for the map of a directive before it requests the map.
-# In a large group a map takes 6 KB; the leader sends it to all blocks within
-# 0.2 s, and the first rank of a block forwards it within 0.1 s.
+# In a large group the changes of a map take 1 to 4 KB, and a whole map 6 KB; the
+# leader sends either to all blocks within 0.1 s, and the first rank of a block
+# forwards it as fast.
 MAP_REQUEST_DELAY_S = 0.05
-MAP_REQUEST_DELAY_LARGE_S = 0.4
+MAP_REQUEST_DELAY_LARGE_S = 0.25
 # Answers to map requests take at most half of a link of 4 Mbit/s.
 MAP_ANSWER_INTERVAL_S = 0.025
 DELIVERY_QUEUE_MAX_MESSAGES = 128
--- a/packages/savoryyoke-agent/savoryyoke_agent/daemon.py
+++ b/packages/savoryyoke-agent/savoryyoke_agent/daemon.py
@@ -342,6 +342,8 @@
                 self._receive_choices(message.choices)
             case group.MapContent():
                 self._receive_map(message)
+            case group.MapChangeContent():
+                self._receive_map_change(message)
             case group.MapRequest():
                 self._delivery.answer_request(message)
             case group.HeldReport():
@@ -385,6 +387,27 @@
         if self._balancer.contents.find_map(expert_map.version) is not None:
             return
         self.store_map(expert_map)
+        self._use_map(message, expert_map, state)
+
+    def _receive_map_change(self, message):
+        state, contents = self._agent.state, self._balancer.contents
+        if state is None or message.group != state.group:
+            return
+        if contents.find_map(message.change.version) is not None:
+            return
+        expert_map = contents.add_change(message.change, ranks=state.ranks)
+        if expert_map is None:
+            # The map is requested as a whole once it is overdue.
+            logs.write_event(
+                'map_change_unusable',
+                version=message.change.version,
+                base_version=message.change.base_version,
+            )
+            return
+        self._use_map(message, expert_map, state)
+
+    def _use_map(self, message, expert_map, state):
+        """Forward the message with a new map and prepare the map."""
         self._delivery.forward_map(message, state)
         self._agent.attach_map(expert_map)
         self._cycle_due.set()
--- a/packages/savoryyoke-agent/savoryyoke_agent/delivery.py
+++ b/packages/savoryyoke-agent/savoryyoke_agent/delivery.py
@@ -24,9 +24,10 @@
 class MapDelivery:
     """Queue and send expert maps, and the requests for them.
 
-    The leader sends a map to the first rank of each block, which forwards it
-    to the others. A rank that receives a directive but not its map requests
-    the map from the leader. Answers to requests are paced, so that they leave
+    The leader sends the changes to the map in use to the first rank of each
+    block, which forwards them to the others. A rank that receives a directive
+    but not its map, or that lacks the map in use, requests the whole map from
+    the leader. Answers to requests are paced, so that they leave
     room on the link for other traffic.
     """
 
@@ -60,9 +61,7 @@
         if directive.version == self._enqueued_version:
             return
         self._enqueued_version = directive.version
-        message = group.MapContent(
-            group=directive.group, expert_map=directive.expert_map
-        )
+        message = self._build_map_message(directive, state)
         ranks = [*blocks.find_heads(state.ranks)]
         if state.rank in ranks:
             ranks.extend(blocks.find_other_members(state.rank, state.ranks))
@@ -70,8 +69,24 @@
             _QueuedMessage(message=message, hosts=self._find_hosts(ranks))
         )
 
+    def _build_map_message(self, directive, state):
+        """Return the changes to the map in use, or the map if it is unknown.
+
+        A map of hundreds of ranks takes several times as long to send.
+        """
+        change = self._contents.find_change(
+            directive.expert_map,
+            base_version=state.active,
+            ranks=state.ranks,
+        )
+        if change is None:
+            return group.MapContent(
+                group=directive.group, expert_map=directive.expert_map
+            )
+        return group.MapChangeContent(group=directive.group, change=change)
+
     def forward_map(self, message, state):
-        """Queue a received map for the own block, as its first rank."""
+        """Queue a received message for the own block, as its first rank."""
         if state.rank != blocks.find_head(state.rank, state.ranks):
             return
         other_ranks = blocks.find_other_members(state.rank, state.ranks)
--- a/packages/savoryyoke-agent/tests/test_delivery.py
+++ b/packages/savoryyoke-agent/tests/test_delivery.py
@@ -1,5 +1,6 @@
 """Test the delivery of maps to the ranks of a large group."""
 
+import dataclasses
 import types
 import unittest
 
@@ -98,9 +99,30 @@
             )
         await self.run_for(leader_delivery, 0.01)
         ((message, hosts),) = self.exchange.sent
+        # The map in use is unknown to this leader.
         self.assertEqual(CONTENT, message)
         self.assertEqual([make_host(rank) for rank in range(0, 63, 7)], hosts)
 
+    async def test_leader_sends_only_the_changes_to_the_map_in_use(self):
+        experts_by_rank = EXPERT_MAP.experts[0]
+        self.contents.add_map(
+            models.ExpertMap(
+                version=VERSION - 1, experts=((*experts_by_rank[:-1], (5,)),)
+            )
+        )
+        leader_delivery = self.build(10)
+        leader_delivery.send_map(
+            self.build_directive(),
+            dataclasses.replace(self.build_state(10), active=VERSION - 1),
+        )
+        await self.run_for(leader_delivery, 0.01)
+        ((message, hosts),) = self.exchange.sent
+        self.assertEqual(
+            {(0, RANKS - 1): experts_by_rank[-1]},
+            message.change.experts_by_place,
+        )
+        self.assertEqual([make_host(rank) for rank in range(0, 63, 7)], hosts)
+
     async def test_first_rank_of_a_block_forwards_a_map(self):
         first_rank_delivery = self.build(7)
         first_rank_delivery.forward_map(CONTENT, self.build_state(7))
--- a/packages/savoryyoke-wire/savoryyoke_wire/group.capnp
+++ b/packages/savoryyoke-wire/savoryyoke_wire/group.capnp
@@ -31,6 +31,21 @@
   sets @2 :List(Set);
 }
 
+# The experts of one rank in one set.
+struct RankExperts {
+  set @0 :UInt16;
+  rank @1 :UInt32;
+  experts @2 :List(UInt16);
+}
+
+# A map that differs from the map of baseVersion in these experts only.
+struct MapChange {
+  group @0 :Text;
+  version @1 :UInt64;
+  baseVersion @2 :UInt64;
+  changes @3 :List(RankExperts);
+}
+
 struct MapRequest {
   group @0 :Text;
   version @1 :UInt64;
@@ -100,5 +115,6 @@
     map @6 :Map;
     mapRequest @7 :MapRequest;
     part @8 :Part;
+    mapChange @9 :MapChange;
   }
 }
--- a/packages/savoryyoke-wire/savoryyoke_wire/group.py
+++ b/packages/savoryyoke-wire/savoryyoke_wire/group.py
@@ -40,6 +40,14 @@
     expert_map: models.ExpertMap
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class MapChangeContent:
+    """Carry an expert map as its changes to an earlier one."""
+
+    group: str
+    change: models.MapChange
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class MapRequest:
     """Request a map that ``host`` lacks from the leader."""
@@ -141,6 +149,22 @@
     return _pack(envelope)
 
 
+@encode.register
+def _(message: MapChangeContent):
+    envelope, body = _build_envelope('mapChange')
+    body.group = message.group
+    body.version = message.change.version
+    body.baseVersion = message.change.base_version
+    experts_by_place = message.change.experts_by_place
+    items = body.init('changes', len(experts_by_place))
+    for item, (place, experts) in zip(
+        items, experts_by_place.items(), strict=True
+    ):
+        item.set, item.rank = place
+        item.experts = list(experts)
+    return _pack(envelope)
+
+
 @encode.register
 def _(message: MapRequest):
     envelope, body = _build_envelope('mapRequest')
@@ -322,6 +346,21 @@
     )
 
 
+def _read_map_change(envelope):
+    body = envelope.mapChange
+    return MapChangeContent(
+        group=body.group,
+        change=models.MapChange(
+            version=body.version,
+            base_version=body.baseVersion,
+            experts_by_place={
+                (item.set, item.rank): tuple(item.experts)
+                for item in body.changes
+            },
+        ),
+    )
+
+
 def _read_set(item):
     """Return the experts of each rank in a set."""
     experts = iter(item.experts)
@@ -400,6 +439,7 @@
     'report': _read_report,
     'choices': _read_choices,
     'map': _read_map,
+    'mapChange': _read_map_change,
     'mapRequest': _read_map_request,
     'held': _read_held,
     'part': _read_part,
--- a/packages/savoryyoke-wire/tests/test_group.py
+++ b/packages/savoryyoke-wire/tests/test_group.py
@@ -81,6 +81,18 @@
             group.MapRequest(group='g', version=70000, host='10.0.0.2')
         )
 
+    def test_changes_of_a_map(self):
+        self.assert_round_trip(
+            group.MapChangeContent(
+                group='g',
+                change=models.MapChange(
+                    version=70000,
+                    base_version=0,
+                    experts_by_place={(0, 62): (1, 251), (7, 0): ()},
+                ),
+            )
+        )
+
     def test_map_of_the_largest_group_fits_a_datagram(self):
         experts = tuple(
             tuple(
--- a/packages/savoryyoke/savoryyoke/groups/balancing/contents.py
+++ b/packages/savoryyoke/savoryyoke/groups/balancing/contents.py
@@ -53,6 +53,50 @@
         while len(self._experts_by_version) > conf.MAX_STORED_MAPS:
             del self._experts_by_version[min(self._experts_by_version)]
 
+    def find_change(self, expert_map, *, base_version, ranks):
+        """Return a ``models.MapChange`` from an earlier map to a map.
+
+        Return None if the earlier map is unavailable.
+        """
+        base = self.find_experts(base_version, ranks=ranks)
+        if base is None:
+            return None
+        return models.MapChange(
+            version=expert_map.version,
+            base_version=base_version,
+            experts_by_place={
+                (set_number, rank): experts
+                for set_number, experts_by_rank in enumerate(
+                    expert_map.experts
+                )
+                for rank, experts in enumerate(experts_by_rank)
+                if experts != base[set_number][rank]
+            },
+        )
+
+    def add_change(self, change, *, ranks):
+        """Store and return the map that a ``models.MapChange`` describes.
+
+        Return None if the map that it changes is unavailable or has no such
+        set or rank.
+        """
+        base = self.find_experts(change.base_version, ranks=ranks)
+        if base is None:
+            return None
+        experts = [list(experts_by_rank) for experts_by_rank in base]
+        for (
+            set_number,
+            rank,
+        ), rank_experts in change.experts_by_place.items():
+            if set_number >= len(experts) or rank >= ranks:
+                return None
+            experts[set_number][rank] = rank_experts
+        expert_map = models.ExpertMap(
+            version=change.version, experts=tuple(map(tuple, experts))
+        )
+        self.add_map(expert_map)
+        return expert_map
+
     def add_rank_map(self, rank, rank_map, *, ranks):
         """Add the ``models.RankMap`` that a rank has reported.
 
--- a/packages/savoryyoke/savoryyoke/groups/rollout/models.py
+++ b/packages/savoryyoke/savoryyoke/groups/rollout/models.py
@@ -83,6 +83,19 @@
     experts: tuple[tuple[tuple[int, ...], ...], ...]
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class MapChange:
+    """Describe an expert map by its differences to an earlier one.
+
+    ``experts_by_place`` holds the experts of each rank and set in which the
+    map differs from that of ``base_version``, by pairs of set and rank.
+    """
+
+    version: int
+    base_version: int
+    experts_by_place: dict[tuple[int, int], tuple[int, ...]]
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class RankMap:
     """Hold the expert numbers of one rank by expert set and slot."""
--- a/packages/savoryyoke/tests/groups/balancing/test_contents.py
+++ b/packages/savoryyoke/tests/groups/balancing/test_contents.py
@@ -86,3 +86,56 @@
         )
         self.contents.set_shape(Shape(experts=12))
         self.assertFalse(self.contents.has_map(VERSION))
+
+
+class MapChangeTests(unittest.TestCase):
+    """Send a map as its changes to a map that the receiver has."""
+
+    NEW_EXPERTS = (((0, 3), (1, 5), (2, 4, 0)), EXPERTS[1])
+
+    def setUp(self):
+        self.sender = contents.MapContents()
+        self.receiver = contents.MapContents()
+        for map_contents in (self.sender, self.receiver):
+            map_contents.set_shape(Shape())
+            map_contents.add_map(
+                models.ExpertMap(version=VERSION, experts=EXPERTS)
+            )
+        self.new_map = models.ExpertMap(version=9, experts=self.NEW_EXPERTS)
+
+    def test_change_holds_only_what_differs(self):
+        change = self.sender.find_change(
+            self.new_map, base_version=VERSION, ranks=RANKS
+        )
+        self.assertEqual(
+            {(0, 1): (1, 5), (0, 2): (2, 4, 0)}, change.experts_by_place
+        )
+
+    def test_receiver_restores_the_map_from_each_base(self):
+        for base_version in (0, VERSION):
+            change = self.sender.find_change(
+                self.new_map, base_version=base_version, ranks=RANKS
+            )
+            self.assertEqual(
+                self.new_map, self.receiver.add_change(change, ranks=RANKS)
+            )
+            self.assertEqual(self.new_map, self.receiver.find_map(9))
+
+    def test_without_the_earlier_map_there_is_no_change(self):
+        self.assertIsNone(
+            self.sender.find_change(self.new_map, base_version=5, ranks=RANKS)
+        )
+
+    def test_unusable_changes_are_not_stored(self):
+        for base_version, place in (
+            (5, (0, 0)),
+            (VERSION, (2, 0)),
+            (VERSION, (0, RANKS)),
+        ):
+            change = models.MapChange(
+                version=9,
+                base_version=base_version,
+                experts_by_place={place: (1,)},
+            )
+            self.assertIsNone(self.receiver.add_change(change, ranks=RANKS))
+            self.assertIsNone(self.receiver.find_map(9))
