--- a/packages/savoryyoke-agent/savoryyoke_agent/conf.py
+++ b/packages/savoryyoke-agent/savoryyoke_agent/conf.py
@@ -32,7 +32,7 @@
 PACED_LINK_SHARE = 0.75
 
 # How long a rank waits for the map of a directive before it requests the map.
-# In a large group the changes of a map take 1 to 4 KB, and a whole map 6 KB; the
+# In a large group the changes of a map take 1 to 4 KB, a whole map 6 KB; the
 # leader sends either to all blocks within 0.1 s, and the first rank of a block
 # forwards it as fast.
 MAP_REQUEST_DELAY_S = 0.05
