--- a/packages/savoryyoke-agent/tests/test_delivery.py
+++ b/packages/savoryyoke-agent/tests/test_delivery.py
@@ -118,8 +118,8 @@
         await self.run_for(leader_delivery, 0.01)
         ((message, hosts),) = self.exchange.sent
         self.assertEqual(
-            {(0, RANKS - 1): experts_by_rank[-1]},
-            message.change.experts_by_place,
+            ({RANKS - 1: experts_by_rank[-1]},),
+            message.change.experts_by_rank_by_set,
         )
         self.assertEqual([make_host(rank) for rank in range(0, 63, 7)], hosts)
 
--- a/packages/savoryyoke-agent/tests/test_exchange.py
+++ b/packages/savoryyoke-agent/tests/test_exchange.py
@@ -94,6 +94,58 @@
         self.assertEqual(0, self.link.dropped)
 
 
+class MapChangeTests(ExchangeCase):
+    """Send a new map right after the directive that names it.
+
+    The directive goes to all ranks and uses a part of the link's queue.
+    """
+
+    RANKS = 63
+    SETS = 8
+    # Changed ranks in each set: a new map takes some 250 copies in all.
+    CHANGED_RANKS = 30
+
+    async def send_change(self, message):
+        directive = models.Directive(
+            group='some-group',
+            epoch=2,
+            term=models.Term(number=3, rank=1),
+            sequence=9,
+            leader_host='10.0.0.1',
+            phase=models.Phase.PREPARE,
+            version=70000,
+        )
+        hosts = [f'10.0.0.{number}' for number in range(self.RANKS - 1)]
+        await self.exchange.send(directive, hosts)
+        await self.exchange.send_paced(message, hosts[:14])
+
+    async def test_changes_are_not_dropped(self):
+        experts_by_rank_by_set = tuple(
+            {
+                2 * number: tuple(
+                    (31 * number + slot) % 252 for slot in range(5)
+                )
+                for number in range(self.CHANGED_RANKS)
+            }
+            for _ in range(self.SETS)
+        )
+        message = group.MapChangeContent(
+            group='some-group',
+            change=models.MapChange(
+                version=70000,
+                base_version=60000,
+                experts_by_rank_by_set=experts_by_rank_by_set,
+            ),
+        )
+        await self.send_change(message)
+        self.assertEqual(0, self.link.dropped)
+        self.assertLess(self.link.now_s, 0.03)
+
+    async def test_whole_maps_are_dropped_by_a_narrow_link(self):
+        await self.send_change(self.build_map(sets=8, ranks=63, slots=5))
+        self.assertGreater(self.link.dropped, 0)
+
+
 class LargeGroupTests(ExchangeCase):
     """Test messages that exceed a datagram."""
 
--- a/packages/savoryyoke-wire/savoryyoke_wire/group.capnp
+++ b/packages/savoryyoke-wire/savoryyoke_wire/group.capnp
@@ -31,19 +31,20 @@
   sets @2 :List(Set);
 }
 
-# The experts of one rank in one set.
-struct RankExperts {
-  set @0 :UInt16;
-  rank @1 :UInt32;
+# The changed ranks of a set, and their experts as in Set.
+struct SetChange {
+  ranks @0 :List(UInt16);
+  counts @1 :Data;
   experts @2 :List(UInt16);
 }
 
-# A map that differs from the map of baseVersion in these experts only.
+# A map that differs from the map of baseVersion in these experts only. There is
+# an item for each set.
 struct MapChange {
   group @0 :Text;
   version @1 :UInt64;
   baseVersion @2 :UInt64;
-  changes @3 :List(RankExperts);
+  sets @3 :List(SetChange);
 }
 
 struct MapRequest {
--- a/packages/savoryyoke-wire/savoryyoke_wire/group.py
+++ b/packages/savoryyoke-wire/savoryyoke_wire/group.py
@@ -155,13 +155,11 @@
     body.group = message.group
     body.version = message.change.version
     body.baseVersion = message.change.base_version
-    experts_by_place = message.change.experts_by_place
-    items = body.init('changes', len(experts_by_place))
-    for item, (place, experts) in zip(
-        items, experts_by_place.items(), strict=True
-    ):
-        item.set, item.rank = place
-        item.experts = list(experts)
+    changed_sets = message.change.experts_by_rank_by_set
+    items = body.init('sets', len(changed_sets))
+    for item, experts_by_rank in zip(items, changed_sets, strict=True):
+        item.ranks = list(experts_by_rank)
+        _write_set(item, experts_by_rank.values())
     return _pack(envelope)
 
 
@@ -287,10 +285,15 @@
 def _write_sets(body, experts):
     sets = body.init('sets', len(experts))
     for item, ranks in zip(sets, experts, strict=True):
-        item.counts = bytes(len(rank_experts) for rank_experts in ranks)
-        item.experts = [
-            expert for rank_experts in ranks for expert in rank_experts
-        ]
+        _write_set(item, ranks)
+
+
+def _write_set(item, ranks):
+    """Write the experts of each rank in a set."""
+    item.counts = bytes(len(rank_experts) for rank_experts in ranks)
+    item.experts = [
+        expert for rank_experts in ranks for expert in rank_experts
+    ]
 
 
 def _write_rows(rows, experts):
@@ -353,10 +356,10 @@
         change=models.MapChange(
             version=body.version,
             base_version=body.baseVersion,
-            experts_by_place={
-                (item.set, item.rank): tuple(item.experts)
-                for item in body.changes
-            },
+            experts_by_rank_by_set=tuple(
+                dict(zip(item.ranks, _read_set(item), strict=True))
+                for item in body.sets
+            ),
         ),
     )
 
--- a/packages/savoryyoke-wire/tests/test_group.py
+++ b/packages/savoryyoke-wire/tests/test_group.py
@@ -88,7 +88,7 @@
                 change=models.MapChange(
                     version=70000,
                     base_version=0,
-                    experts_by_place={(0, 62): (1, 251), (7, 0): ()},
+                    experts_by_rank_by_set=({}, {62: (1, 251), 0: ()}),
                 ),
             )
         )
--- a/packages/savoryyoke/savoryyoke/groups/balancing/contents.py
+++ b/packages/savoryyoke/savoryyoke/groups/balancing/contents.py
@@ -64,35 +64,44 @@
         return models.MapChange(
             version=expert_map.version,
             base_version=base_version,
-            experts_by_place={
-                (set_number, rank): experts
-                for set_number, experts_by_rank in enumerate(
-                    expert_map.experts
+            experts_by_rank_by_set=tuple(
+                {
+                    rank: experts
+                    for rank, experts in enumerate(experts_by_rank)
+                    if experts != base_by_rank[rank]
+                }
+                for experts_by_rank, base_by_rank in zip(
+                    expert_map.experts, base, strict=True
                 )
-                for rank, experts in enumerate(experts_by_rank)
-                if experts != base[set_number][rank]
-            },
+            ),
         )
 
     def add_change(self, change, *, ranks):
         """Store and return the map that a ``models.MapChange`` describes.
 
-        Return None if the map that it changes is unavailable or has no such
-        set or rank.
+        Return None if the map that it changes is unavailable or has other
+        sets or ranks.
         """
         base = self.find_experts(change.base_version, ranks=ranks)
-        if base is None:
+        changed_sets = change.experts_by_rank_by_set
+        if base is None or len(base) != len(changed_sets):
+            return None
+        if any(
+            max(changed_set, default=0) >= ranks
+            for changed_set in changed_sets
+        ):
             return None
-        experts = [list(experts_by_rank) for experts_by_rank in base]
-        for (
-            set_number,
-            rank,
-        ), rank_experts in change.experts_by_place.items():
-            if set_number >= len(experts) or rank >= ranks:
-                return None
-            experts[set_number][rank] = rank_experts
         expert_map = models.ExpertMap(
-            version=change.version, experts=tuple(map(tuple, experts))
+            version=change.version,
+            experts=tuple(
+                tuple(
+                    changed_set.get(rank, experts)
+                    for rank, experts in enumerate(base_set)
+                )
+                for base_set, changed_set in zip(
+                    base, changed_sets, strict=True
+                )
+            ),
         )
         self.add_map(expert_map)
         return expert_map
--- a/packages/savoryyoke/savoryyoke/groups/rollout/models.py
+++ b/packages/savoryyoke/savoryyoke/groups/rollout/models.py
@@ -87,13 +87,13 @@
 class MapChange:
     """Describe an expert map by its differences to an earlier one.
 
-    ``experts_by_place`` holds the experts of each rank and set in which the
-    map differs from that of ``base_version``, by pairs of set and rank.
+    For each set, ``experts_by_rank_by_set`` holds the experts of the ranks
+    whose experts differ from those in the map of ``base_version``.
     """
 
     version: int
     base_version: int
-    experts_by_place: dict[tuple[int, int], tuple[int, ...]]
+    experts_by_rank_by_set: tuple[dict[int, tuple[int, ...]], ...]
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/savoryyoke/tests/groups/balancing/test_contents.py
+++ b/packages/savoryyoke/tests/groups/balancing/test_contents.py
@@ -108,7 +108,7 @@
             self.new_map, base_version=VERSION, ranks=RANKS
         )
         self.assertEqual(
-            {(0, 1): (1, 5), (0, 2): (2, 4, 0)}, change.experts_by_place
+            ({1: (1, 5), 2: (2, 4, 0)}, {}), change.experts_by_rank_by_set
         )
 
     def test_receiver_restores_the_map_from_each_base(self):
@@ -127,15 +127,15 @@
         )
 
     def test_unusable_changes_are_not_stored(self):
-        for base_version, place in (
-            (5, (0, 0)),
-            (VERSION, (2, 0)),
-            (VERSION, (0, RANKS)),
+        for base_version, changed_sets in (
+            (5, ({0: (1,)}, {})),
+            (VERSION, ({}, {}, {0: (1,)})),
+            (VERSION, ({RANKS: (1,)}, {})),
         ):
             change = models.MapChange(
                 version=9,
                 base_version=base_version,
-                experts_by_place={place: (1,)},
+                experts_by_rank_by_set=changed_sets,
             )
             self.assertIsNone(self.receiver.add_change(change, ranks=RANKS))
             self.assertIsNone(self.receiver.find_map(9))
