--- a/packages/savoryyoke-agent/savoryyoke_agent/daemon.py
+++ b/packages/savoryyoke-agent/savoryyoke_agent/daemon.py
@@ -9,10 +9,8 @@
 
 import anyio
 
-from savoryyoke.groups.balancing import demand
 from savoryyoke.groups.rollout import agent
 from savoryyoke.groups.rollout import blocks
-from savoryyoke.groups.rollout import conf as rollout_conf
 from savoryyoke.groups.rollout import decisions
 from savoryyoke.groups.rollout import elections
 from savoryyoke.groups.rollout import events
@@ -20,6 +18,7 @@
 from savoryyoke.groups.rollout import models
 
 from savoryyoke_agent import balancer
+from savoryyoke_agent import choices
 from savoryyoke_agent import conf
 from savoryyoke_agent import delivery
 from savoryyoke_agent import exchange
@@ -62,7 +61,6 @@
         self._last_publish_s = clock()
         self._cycle_due = anyio.Event()
         self._balancer = balancer.Balancer(clock=clock)
-        self._choices = demand.ChoiceCounter()
         self._membership = membership.GroupMembership(
             settings=settings,
             member_finder=member_finder,
@@ -82,6 +80,15 @@
             contents=self._balancer.contents,
             clock=clock,
         )
+        self._choices = choices.ChoiceReporting(
+            settings=settings,
+            engine=engine,
+            agent=self._agent,
+            exchange=self._exchange,
+            membership=self._membership,
+            balancer=self._balancer,
+            is_leading=lambda: self._leader is not None,
+        )
         self._outbox = []
         self._stopping = anyio.Event()
 
@@ -100,7 +107,7 @@
                 self._exchange.run,
                 self._run_cycles,
                 self._delivery.run,
-                self._send_choices,
+                self._choices.run,
                 self._refresh_members,
                 self._plan,
                 self._report_slowdown,
@@ -171,17 +178,10 @@
     def _choose_observe_interval_s(self):
         if self._phase() not in (_Phase.IDLE, _Phase.LEARN):
             return conf.OBSERVE_INTERVAL_CHANGING_S
-        if self._leader is None and self._is_group_large():
+        if self._leader is None and blocks.is_group_large(self._agent.state):
             return conf.OBSERVE_INTERVAL_IDLE_LARGE_S
         return conf.OBSERVE_INTERVAL_IDLE_S
 
-    def _is_group_large(self):
-        state = self._agent.state
-        return (
-            state is not None
-            and state.ranks > rollout_conf.SMALL_GROUP_MAX_RANKS
-        )
-
     def _phase(self):
         directive = self._agent.directive
         return directive.phase if directive else _Phase.LEARN
@@ -339,7 +339,7 @@
                     self._apply_to_leader(events.RankReported(report=message))
                     self._cycle_due.set()
             case group.ChoicesReport():
-                self._receive_choices(message.choices)
+                self._choices.receive_choices(message.choices)
             case group.MapContent():
                 self._receive_map(message)
             case group.MapChangeContent():
@@ -347,7 +347,7 @@
             case group.MapRequest():
                 self._delivery.answer_request(message)
             case group.HeldReport():
-                self._receive_rank_map(message)
+                self._choices.receive_rank_map(message)
 
     def _receive_directive(self, directive):
         state = self._agent.state
@@ -412,80 +412,12 @@
         self._agent.attach_map(expert_map)
         self._cycle_due.set()
 
-    def _receive_choices(self, choices):
-        if self._leader is not None:
-            self._balancer.add_choices(choices)
-        else:
-            self._choices.add(choices)
-
     def _step_down(self, term):
         logs.write_event(
             'leader_replaced', own=self._leader.term.number, by=term.number
         )
         self._leader = None
 
-    async def _send_choices(self):
-        while True:
-            await anyio.sleep(self._choose_counts_interval_s())
-            state, directive = self._agent.state, self._agent.directive
-            if state is None or directive is None:
-                continue
-            if directive.wants_experts:
-                await self._send_rank_map(state, directive)
-            counts = await self._engine.read_counts()
-            if counts is not None:
-                self._choices.add_engine_counts(counts)
-            choices = self._choices.pop_choices()
-            if choices is None:
-                continue
-            if self._leader is not None:
-                self._balancer.add_choices(choices)
-                continue
-            report = group.ChoicesReport(
-                group=state.group, rank=state.rank, choices=tuple(choices)
-            )
-            await self._exchange.send(
-                report, [self._find_choices_host(state, directive)]
-            )
-
-    def _choose_counts_interval_s(self):
-        if self._is_group_large():
-            return conf.COUNTS_INTERVAL_LARGE_S
-        return conf.COUNTS_INTERVAL_S
-
-    def _find_choices_host(self, state, directive):
-        """Return the host that this rank reports its choices to.
-
-        It is the first rank of the block or, for that rank, the leader.
-        """
-        head = blocks.find_head(state.rank, state.ranks)
-        members = self._membership.members
-        if head == state.rank or members is None:
-            return directive.leader_host
-        return members.hosts_by_rank.get(head, directive.leader_host)
-
-    async def _send_rank_map(self, state, directive):
-        """Send the experts that this rank holds to the leader."""
-        rank_map = await self._engine.read_experts()
-        if rank_map is None:
-            return
-        report = group.HeldReport(
-            group=state.group, rank=state.rank, held=rank_map
-        )
-        if self._leader is not None:
-            self._receive_rank_map(report)
-        else:
-            await self._exchange.send(report, [directive.leader_host])
-
-    def _receive_rank_map(self, report):
-        state, contents = self._agent.state, self._balancer.contents
-        version = report.held.version
-        if state is None or contents.has_map(version):
-            return
-        contents.add_rank_map(report.rank, report.held, ranks=state.ranks)
-        if contents.has_map(version):
-            logs.write_event('map_collected', version=version)
-
     async def _report_slowdown(self):
         """Report this rank to entries while it is slow."""
         was_slow = False
--- a/packages/savoryyoke/savoryyoke/groups/balancing/conf.py
+++ b/packages/savoryyoke/savoryyoke/groups/balancing/conf.py
@@ -42,7 +42,7 @@
 # Fewer observations don't show what is usual.
 MIN_USUAL_DISTANCES = 5
 # A smaller shift hardly changes the load of any rank.
-MIN_SHIFT_DISTANCE = 0.06
+MIN_SHIFT_DISTANCE = 0.04
 # Smallest distance of a shift until usual distances have been observed.
 DEFAULT_SHIFT_DISTANCE = 0.3
 # A baseline of fewer choices than this many times the recent ones is too small
--- a/packages/savoryyoke/savoryyoke/groups/rollout/blocks.py
+++ b/packages/savoryyoke/savoryyoke/groups/rollout/blocks.py
@@ -10,6 +10,14 @@
 from savoryyoke.groups.rollout import conf
 
 
+def is_group_large(state):
+    """Return whether the group of an ``EngineState`` has several blocks.
+
+    ``state`` is None as long as the engine hasn't been observed.
+    """
+    return state is not None and state.ranks > conf.SMALL_GROUP_MAX_RANKS
+
+
 def find_head(rank, rank_count):
     """Return the head, that is the first rank, of a rank's block.
 
