Pace maps after 8 KB; let first ranks of blocks ask first

Cause: a trial that logged sends and receipts shows nine messages sent and five received in each change: the directive to 62 ranks and 20 KB of maps, sent at once, overflow the queue of a link of 4 Mbit/s. The other 27 ranks each asked the leader after 0.4 s and got the map one after the other until 1.4 s.

Change: 8 KB are sent unpaced; the first rank of a block asks after 0.2 s, so that one answer serves its block.

--- a/packages/savoryyoke-agent/savoryyoke_agent/conf.py
+++ b/packages/savoryyoke-agent/savoryyoke_agent/conf.py
@@ -25,10 +25,10 @@
 # Interval at which the leader searches for a better map.
 PLAN_INTERVAL_S = 0.1
 
-# A link of 4 Mbit/s drops what exceeds some 30 KB of a burst. Large messages
-# are therefore paced after the first bytes, at a rate that leaves a quarter of
-# the link to other traffic.
-UNPACED_BYTES = 20_000
+# A link of 4 Mbit/s drops what exceeds some 25 KB of a burst, and a directive
+# to 62 ranks takes 6 KB of that. Large messages are therefore paced after the
+# first bytes, at a rate that leaves a quarter of the link to other traffic.
+UNPACED_BYTES = 8_000
 PACED_LINK_SHARE = 0.75
 
 # How long a rank waits for the map of a directive before it requests the map.
@@ -36,7 +36,9 @@
 # leader sends either to all blocks within 0.1 s, and the first rank of a block
 # forwards it as fast.
 MAP_REQUEST_DELAY_S = 0.05
-MAP_REQUEST_DELAY_LARGE_S = 0.25
+MAP_REQUEST_DELAY_LARGE_S = 0.4
+# The first rank of a block requests it earlier, for its whole block.
+MAP_REQUEST_DELAY_HEAD_S = 0.2
 # Answers to map requests take at most half of a link of 4 Mbit/s.
 MAP_ANSWER_INTERVAL_S = 0.025
 DELIVERY_QUEUE_MAX_MESSAGES = 128
--- a/packages/savoryyoke-agent/savoryyoke_agent/delivery.py
+++ b/packages/savoryyoke-agent/savoryyoke_agent/delivery.py
@@ -6,7 +6,6 @@
 import anyio
 
 from savoryyoke.groups.rollout import blocks
-from savoryyoke.groups.rollout import conf as rollout_conf
 
 from savoryyoke_agent import conf
 
@@ -104,9 +103,7 @@
                 directive.version,
                 now_s,
             )
-        if now_s - self._missing_since_s < _choose_request_delay_s(
-            state.ranks
-        ):
+        if now_s - self._missing_since_s < _choose_request_delay_s(state):
             return
         logs.write_event(
             'map_requested',
@@ -149,7 +146,9 @@
         return [host for host in hosts if host not in (None, self._own_host)]
 
 
-def _choose_request_delay_s(ranks):
-    if ranks <= rollout_conf.SMALL_GROUP_MAX_RANKS:
+def _choose_request_delay_s(state):
+    if not blocks.is_group_large(state):
         return conf.MAP_REQUEST_DELAY_S
+    if state.rank == blocks.find_head(state.rank, state.ranks):
+        return conf.MAP_REQUEST_DELAY_HEAD_S
     return conf.MAP_REQUEST_DELAY_LARGE_S
--- a/packages/savoryyoke-agent/tests/test_delivery.py
+++ b/packages/savoryyoke-agent/tests/test_delivery.py
@@ -151,6 +151,22 @@
         )
         self.assertEqual([(request, [make_host(10)])], self.exchange.sent)
 
+    async def test_first_rank_of_a_block_requests_a_map_before_the_others(
+        self,
+    ):
+        requesting_ranks = []
+        for rank in (7, 8):
+            self.exchange.sent.clear()
+            rank_delivery = self.build(rank)
+            for self.now_s in (0.0, conf.MAP_REQUEST_DELAY_HEAD_S):
+                rank_delivery.request_overdue_map(
+                    self.build_directive(), self.build_state(rank)
+                )
+            await self.run_for(rank_delivery, 0.01)
+            if self.exchange.sent:
+                requesting_ranks.append(rank)
+        self.assertEqual([7], requesting_ranks)
+
     async def test_answers_are_paced_and_not_repeated(self):
         leader_delivery = self.build(10)
         self.contents.add_map(EXPERT_MAP)
