Give the reports that a leader holds a class of their own

What it knows of the ranks, and which of it is fresh, is one subject with its own rules; the phases of a change are another. No behaviour changes. The mutant that releases early patches the same method, which takes the states from the reports now.

--- a/packages/savoryyoke/savoryyoke/groups/rollout/leader.py
+++ b/packages/savoryyoke/savoryyoke/groups/rollout/leader.py
@@ -1,6 +1,5 @@
 """Coordinate the map changes of one group."""
 
-import dataclasses
 import functools
 import math
 
@@ -9,18 +8,13 @@
 from savoryyoke.groups.rollout import decisions
 from savoryyoke.groups.rollout import events
 from savoryyoke.groups.rollout import models
+from savoryyoke.groups.rollout import reports
 
 _Phase = models.Phase
 # Version of no map, in a RELEASE that abandons the change.
 _NO_VERSION = 0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class _ReceivedReport:
-    report: models.RankReport
-    received_s: float
-
-
 class GroupLeader:
     """Lead a group through the phases of a map change.
 
@@ -69,7 +63,7 @@
         self._generate_bits = generate_bits
         self._has_map_content = has_map_content
         self._sequence = 0
-        self._reports_by_rank = {}
+        self._reports = reports.RankReports()
         self._phase = _Phase.LEARN
         self._phase_started_s = now_s
         self._change_started_s = now_s
@@ -98,25 +92,14 @@
     @property
     def states_by_rank(self):
         """Return the newest ``EngineState`` of each rank by rank."""
-        return {
-            rank: received.report.state
-            for rank, received in self._reports_by_rank.items()
-        }
+        return self._reports.states_by_rank
 
     def is_complete(self, *, now_s):
         """Return whether all ranks reported lately and agree.
 
         They must be open and agree on group, epoch and active map.
         """
-        states = self._find_fresh_states(now_s)
-        if not states or len(states) < states[0].ranks:
-            return False
-        first = states[0]
-        return all(
-            (state.group, state.epoch, state.active, state.is_open)
-            == (first.group, first.epoch, first.active, True)
-            for state in states
-        )
+        return self._reports.are_fresh_and_agree(now_s=now_s)
 
     @functools.singledispatchmethod
     def apply(self, event, *, now_s):
@@ -129,9 +112,7 @@
     @apply.register
     def _(self, event: events.RankReported, *, now_s):
         report = event.report
-        self._reports_by_rank[report.state.rank] = _ReceivedReport(
-            report=report, received_s=now_s
-        )
+        self._reports.add(report, now_s=now_s)
         if self._epoch is not None and report.state.epoch > self._epoch:
             return self._restart_learning('group formed anew', now_s)
         return self._advance(now_s)
@@ -140,7 +121,7 @@
     def _(self, event: events.MapProposed, *, now_s):
         if self._phase is not _Phase.IDLE or not self.is_complete(now_s=now_s):
             return ()
-        states = self._find_fresh_states(now_s)
+        states = self._reports.list_states()
         if any(state.armed is not None for state in states):
             return ()
         newest_version = max(state.newest_version for state in states)
@@ -150,7 +131,9 @@
         )
         self._epoch = states[0].epoch
         self._change_started_s = now_s
-        self._change_first_step = self._find_state(self._term.rank).step
+        self._change_first_step = self._reports.find_state(
+            self._term.rank
+        ).step
         self._hold_rank = self._choose_hold_rank()
         self._hold_rank_sequence = self._sequence + 1
         return self._enter_phase(_Phase.PREPARE, now_s)
@@ -172,7 +155,7 @@
 
     def _recover_change(self, now_s):
         """Resume from the ranks' states once all have accepted this term."""
-        states = self._list_states()
+        states = self._reports.list_states()
         if not self._is_followed():
             if not self._can_abandon():
                 return ()
@@ -220,13 +203,11 @@
         return ()
 
     def _wait_prepared(self, now_s):
-        states = self._list_states()
-        if self._all_ranks(
-            states, lambda state: state.prepared == self._version
-        ):
+        states = self._reports.list_states()
+        if self._all_ranks(lambda state: state.prepared == self._version):
             if not self._is_hold_rank_ready(now_s):
                 return self._replace_hold_rank(now_s)
-            if len(self._find_fresh_states(now_s)) == len(states):
+            if self._reports.count_fresh(now_s=now_s) == len(states):
                 newest_step = max(state.step for state in states)
                 return self._enter_hold(newest_step, now_s)
         if now_s - self._phase_started_s > conf.PREPARE_TIMEOUT_S:
@@ -240,7 +221,7 @@
         rank. The duration of a pass is the mean since the start of the
         change, as observed on the leader's own rank.
         """
-        received = self._reports_by_rank[self._term.rank]
+        received = self._reports.find(self._term.rank)
         passes = received.report.state.step - self._change_first_step
         pass_s = (received.received_s - self._change_started_s) / max(
             passes, 1
@@ -261,17 +242,17 @@
         A rank without a stale hold is preferred.
         """
         return max(
-            self._reports_by_rank,
+            self._reports.states_by_rank,
             key=lambda rank: (
                 rank != self._term.rank,
-                self._find_state(rank).held is None,
-                self._reports_by_rank[rank].received_s,
+                self._reports.find_state(rank).held is None,
+                self._reports.find(rank).received_s,
             ),
         )
 
     def _is_hold_rank_ready(self, now_s):
         """Return whether the agent of the hold rank knows its task."""
-        received = self._reports_by_rank[self._hold_rank]
+        received = self._reports.find(self._hold_rank)
         return (
             received.report.term == self._term
             and received.report.sequence >= self._hold_rank_sequence
@@ -280,7 +261,7 @@
 
     def _replace_hold_rank(self, now_s):
         """Choose another hold rank if the present one is silent."""
-        received = self._reports_by_rank[self._hold_rank]
+        received = self._reports.find(self._hold_rank)
         if now_s - received.received_s <= conf.AGENT_TIMEOUT_S:
             return ()
         self._hold_rank = self._choose_hold_rank()
@@ -288,24 +269,24 @@
         return (self._publish(),)
 
     def _order_hold(self):
-        host = self._reports_by_rank[self._hold_rank].report.host
+        host = self._reports.find(self._hold_rank).report.host
         order = decisions.Hold(epoch=self._epoch, step=self._switch_step)
         return (decisions.OrderRemotely(host=host, order=order),)
 
     def _wait_held(self, now_s):
-        hold_state = self._find_state(self._hold_rank)
+        hold_state = self._reports.find_state(self._hold_rank)
         if hold_state.held == self._switch_step:
-            if len(self._find_fresh_states(now_s)) < hold_state.ranks:
+            if self._reports.count_fresh(now_s=now_s) < hold_state.ranks:
                 return self._abandon_change(hold_state, now_s)
             return self._enter_phase(_Phase.ARM, now_s)
-        newest_step = max(state.step for state in self._list_states())
+        newest_step = max(state.step for state in self._reports.list_states())
         if newest_step >= self._switch_step:
             return self._enter_hold(newest_step, now_s)
         return ()
 
     def _wait_armed(self, now_s):
-        states = self._list_states()
-        if self._all_ranks(states, self._is_armed):
+        states = self._reports.list_states()
+        if self._all_ranks(self._is_armed):
             return self._enter_phase(_Phase.RELEASE, now_s)
         if self._is_own_rank_due(states) and not self._has_ordered_own_rank:
             self._has_ordered_own_rank = True
@@ -329,19 +310,16 @@
         return self._version in (state.armed, state.active)
 
     def _wait_released(self, now_s):
-        states = self._list_states()
         if self._version == _NO_VERSION:
-            if self._find_state(self._hold_rank).held is None:
+            if self._reports.find_state(self._hold_rank).held is None:
                 return self._end_change('abandoned', now_s)
             return ()
-        if self._all_ranks(
-            states, lambda state: state.active == self._version
-        ):
+        if self._all_ranks(lambda state: state.active == self._version):
             return self._end_change('switched', now_s)
         return ()
 
-    def _all_ranks(self, states, predicate):
-        return len(states) == states[0].ranks and all(map(predicate, states))
+    def _all_ranks(self, predicate):
+        return self._reports.are_all(predicate)
 
     def _order_for_silent_agents(self, now_s):
         """Give orders to engines directly.
@@ -359,15 +337,11 @@
         if self._phase is _Phase.HOLD:
             return self._order_hold()
         if self._phase is _Phase.ARM and self._is_own_rank_due(
-            self._list_states()
+            self._reports.list_states()
         ):
             return self._arm_own_rank()
-        silent_reports = [
-            received.report
-            for received in self._reports_by_rank.values()
-            if now_s - received.received_s > conf.AGENT_TIMEOUT_S
-        ]
-        if 2 * len(silent_reports) > len(self._reports_by_rank):
+        silent_reports = self._reports.list_silent(now_s=now_s)
+        if 2 * len(silent_reports) > len(self._reports.states_by_rank):
             # Rather than most agents, this process has been frozen. Another
             # leader may have released the group since.
             return ()
@@ -418,15 +392,11 @@
 
     def _is_followed(self):
         """Return whether every rank's agent has accepted this term."""
-        reports = [
-            received.report for received in self._reports_by_rank.values()
-        ]
-        if not reports or len(reports) < reports[0].state.ranks:
-            return False
         exempt_rank = self._find_exempt_rank()
-        return all(
+        received_reports = self._reports.list_reports()
+        return self._reports.is_complete and all(
             report.term == self._term or report.state.rank == exempt_rank
-            for report in reports
+            for report in received_reports
         )
 
     def _can_abandon(self):
@@ -435,40 +405,22 @@
         Every rank but the former leader's has accepted this term, has not been
         armed and will not be. A leader arms its own rank last.
         """
-        reports = [
-            received.report for received in self._reports_by_rank.values()
-        ]
+        received_reports = self._reports.list_reports()
         exempt_rank = self._find_exempt_rank()
         return (
-            bool(reports)
+            bool(received_reports)
             and exempt_rank is not None
-            and exempt_rank not in self._reports_by_rank
-            and len(reports) == reports[0].state.ranks - 1
-            and _find_holding(self._list_states()) is not None
+            and exempt_rank not in self._reports.states_by_rank
+            and len(received_reports) == received_reports[0].state.ranks - 1
+            and _find_holding(self._reports.list_states()) is not None
             and all(
                 report.term == self._term
                 and report.state.armed is None
                 and not report.may_be_armed
-                for report in reports
+                for report in received_reports
             )
         )
 
-    def _find_fresh_states(self, now_s):
-        return [
-            received.report.state
-            for received in self._reports_by_rank.values()
-            if now_s - received.received_s <= conf.AGENT_TIMEOUT_S
-        ]
-
-    def _list_states(self):
-        return [
-            received.report.state
-            for received in self._reports_by_rank.values()
-        ]
-
-    def _find_state(self, rank):
-        return self._reports_by_rank[rank].report.state
-
     def _restart_learning(self, reason, now_s):
         """Drop the change, as the engines lose it when a group is re-formed.
 
@@ -477,11 +429,7 @@
         end_decisions = ()
         if self._phase not in (_Phase.LEARN, _Phase.IDLE):
             end_decisions = (self._describe_end(reason, now_s),)
-        self._reports_by_rank = {
-            rank: received
-            for rank, received in self._reports_by_rank.items()
-            if received.report.state.epoch > self._epoch
-        }
+        self._reports.drop_until_epoch(self._epoch)
         self._epoch = None
         return end_decisions + self._enter_phase(_Phase.LEARN, now_s)
 
@@ -529,7 +477,7 @@
         """
         return self._phase is _Phase.IDLE and not all(
             self._has_map_content(state.active)
-            for state in self._list_states()
+            for state in self._reports.list_states()
         )
 
 
--- a/packages/savoryyoke/tests/groups/rollout/test_rollout.py
+++ b/packages/savoryyoke/tests/groups/rollout/test_rollout.py
@@ -33,7 +33,8 @@
 class EarlyReleaseLeader(leader.GroupLeader):
     """Release the hold once all ranks but one are armed, as a mutant."""
 
-    def _all_ranks(self, states, predicate):
+    def _all_ranks(self, predicate):
+        states = self._reports.list_states()
         return sum(map(predicate, states)) >= len(states) - 1
 
 
