--- a/packages/savoryyoke-agent/savoryyoke_agent/balancer.py
+++ b/packages/savoryyoke-agent/savoryyoke_agent/balancer.py
@@ -87,7 +87,9 @@
         estimated_demand = self._demand.estimate(now_s=self._clock())
         if self._demand.shift_distance is not None:
             logs.write_event(
-                'demand_shifted', distance=self._demand.shift_distance
+                'demand_shifted',
+                distance=self._demand.shift_distance,
+                min_distance=self._demand.min_shift_distance,
             )
         if estimated_demand is None:
             return self._keep_map(version, 'demand-unknown')
--- a/packages/savoryyoke/savoryyoke/groups/balancing/demand.py
+++ b/packages/savoryyoke/savoryyoke/groups/balancing/demand.py
@@ -75,6 +75,11 @@
         """Return the mean time between shifts of demand, in seconds."""
         return self._shifts.mean_life_s
 
+    @property
+    def min_shift_distance(self):
+        """Return the distance from which on a change of demand is a shift."""
+        return self._shifts.min_distance
+
     def add(self, choices, *, now_s):
         """Add the number of choices of each expert, set by set.
 
@@ -133,26 +138,26 @@
             self._baseline
         ):
             return
+        distance = self._find_mean_distance(recent_counts)
+        is_settled = sum(self._baseline) >= conf.SETTLED_BASELINE_RATIO * sum(
+            recent_counts
+        )
+        if self._shifts.is_shift(distance, is_settled=is_settled, now_s=now_s):
+            self.shift_distance = distance
+            self._baseline = [0.0] * len(self._baseline)
+            self._drop_mixed_choices(now_s)
+
+    def _find_mean_distance(self, recent_counts):
+        """Return the mean distance of a set's recent demand to the baseline."""
         distances = [
-            _find_distance(
-                _normalize(recent_set_counts), _normalize(baseline_set_counts)
-            )
-            for recent_set_counts, baseline_set_counts in zip(
+            _find_distance(_normalize(recent_set), _normalize(baseline_set))
+            for recent_set, baseline_set in zip(
                 self._split_by_set(recent_counts),
                 self._split_by_set(self._baseline),
                 strict=True,
             )
         ]
-        mean_distance = sum(distances) / len(distances)
-        is_settled = sum(self._baseline) >= conf.SETTLED_BASELINE_RATIO * sum(
-            recent_counts
-        )
-        if self._shifts.is_shift(
-            mean_distance, is_settled=is_settled, now_s=now_s
-        ):
-            self.shift_distance = mean_distance
-            self._baseline = [0.0] * len(self._baseline)
-            self._drop_mixed_choices(now_s)
+        return sum(distances) / len(distances)
 
     def _drop_mixed_choices(self, now_s):
         """Drop the older half of the recent choices.
