Keep entries from choosing the same least loaded engines

Cause: all entries choose the least loaded engine by reports of up to 0.4 s ago.

Change: an entry chooses at random among as many of the least loaded engines as peers have probably placed requests since their reports. While fewer slots are free than that, it draws whether it may claim one; a slot that it has just freed is its own.

--- a/packages/savoryyoke-gateway/savoryyoke_gateway/dispatching.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/dispatching.py
@@ -264,7 +264,9 @@
             service_dispatcher.pool.set_paces(self._paces_by_address)
             self._dispatchers_by_service[name] = service_dispatcher
             for peer_id, requests in self._peer_reports_by_id.items():
-                service_dispatcher.pool.set_peer_requests(peer_id, requests)
+                service_dispatcher.pool.set_peer_requests(
+                    peer_id, requests, now_s=self._clock()
+                )
         return service_dispatcher
 
     def _apply_to_all(self, event):
--- a/packages/savoryyoke/savoryyoke/groups/balancing/demand.py
+++ b/packages/savoryyoke/savoryyoke/groups/balancing/demand.py
@@ -148,7 +148,7 @@
             self._drop_mixed_choices(now_s)
 
     def _find_mean_distance(self, recent_counts):
-        """Return the mean distance of a set's recent demand to the baseline."""
+        """Return the mean distance of recent demand to the baseline."""
         distances = [
             _find_distance(_normalize(recent_set), _normalize(baseline_set))
             for recent_set, baseline_set in zip(
--- a/packages/savoryyoke/savoryyoke/placement/conf.py
+++ b/packages/savoryyoke/savoryyoke/placement/conf.py
@@ -42,6 +42,17 @@
 # 1,300 targets that are replaced three times, at 32 bytes and a key each.
 NOTICES_LIMIT = 4096
 
+# The rate at which this entry places requests is measured over this time.
+PLACEMENT_RATE_WINDOW_S = 1.0
+# The requests of a peer that is silent for longer tell nothing about what it
+# places; it is taken for gone soon after.
+REPORT_AGE_MAX_S = 0.5
+# Interval between two draws for a slot that several entries may claim. Peers
+# report within it.
+CLAIM_INTERVAL_S = 0.3
+# Time in which no peer can have noticed a slot that this entry has freed.
+OWN_SLOT_S = 0.1
+
 # The failure rate of a target halves in this time, so that a recovered target
 # gets requests again within a few seconds.
 FAILURE_HALF_LIFE_S = 2.0
--- a/packages/savoryyoke/savoryyoke/placement/dispatcher.py
+++ b/packages/savoryyoke/savoryyoke/placement/dispatcher.py
@@ -78,7 +78,7 @@
     @_apply.register
     def _(self, event: events.PeerReported, now_s):
         self._pool.set_peer_requests(
-            event.peer_id, event.requests_by_target_id
+            event.peer_id, event.requests_by_target_id, now_s=now_s
         )
         return self._process_queue(now_s)
 
@@ -212,6 +212,7 @@
                 now_s=now_s,
                 regions=arrival.regions,
                 excluded=waiting.excluded_target_ids,
+                may_wait=True,
                 withheld_releases=arrival.withheld_releases,
             )
             if target is None and self._is_paused_beyond_wait(arrival, now_s):
--- a/packages/savoryyoke/savoryyoke/placement/pool.py
+++ b/packages/savoryyoke/savoryyoke/placement/pool.py
@@ -1,10 +1,12 @@
 """Track the targets of a service and choose one for each request."""
 
 import collections
+import math
 
 from savoryyoke.placement import conf
 from savoryyoke.placement import health
 from savoryyoke.placement import notices
+from savoryyoke.placement import unseen
 
 
 class _ColdRate:
@@ -50,6 +52,8 @@
         self.target = target
         self.health = health.TargetHealth(now_s=now_s)
         self.own_in_flight = 0
+        # When this entry last freed a slot that it has not used again.
+        self.freed_s = -math.inf
         self.cold_rate = _ColdRate()
 
 
@@ -71,6 +75,8 @@
         self._paces_by_address = {}
         self._requests_by_target_by_peer = {}
         self._peer_requests_by_target = collections.Counter()
+        self._unseen = unseen.UnseenPlacements()
+        self._claim_limit = unseen.ClaimLimit(random_fraction=random_fraction)
         self.notices = notices.TargetNotices()
 
     def set_cold_rate(self, rate_per_s):
@@ -101,14 +107,16 @@
             states_by_id[target.target_id] = state
         self._states_by_id = states_by_id
 
-    def set_peer_requests(self, peer_id, requests_by_target_id):
+    def set_peer_requests(self, peer_id, requests_by_target_id, *, now_s):
         """Set the number of requests that a peer has in flight."""
         self.remove_peer(peer_id)
+        self._unseen.record_report(peer_id, now_s=now_s)
         self._requests_by_target_by_peer[peer_id] = requests_by_target_id
         self._peer_requests_by_target.update(requests_by_target_id)
 
     def remove_peer(self, peer_id):
         """Remove the requests that a peer had in flight."""
+        self._unseen.remove_peer(peer_id)
         reported = self._requests_by_target_by_peer.pop(peer_id, {})
         for target_id, requests in reported.items():
             remaining = self._peer_requests_by_target[target_id] - requests
@@ -142,7 +150,9 @@
         """Record that a request is sent to a target."""
         state = self._states_by_id[target_id]
         state.own_in_flight += 1
+        state.freed_s = -math.inf
         state.cold_rate.record_sent(now_s)
+        self._unseen.record_placement(now_s=now_s)
 
     def record_try_end(self, event, *, now_s):
         """Record the ``TryEnded`` event of a request sent to a target.
@@ -153,6 +163,7 @@
         if state is None or state.target.incarnation != event.incarnation:
             return
         state.own_in_flight = max(state.own_in_flight - 1, 0)
+        state.freed_s = now_s
         state.health.record(
             event.result, latency_s=event.latency_s, now_s=now_s
         )
@@ -203,10 +214,15 @@
         regions=frozenset(),
         excluded=frozenset(),
         withheld_releases=frozenset(),
+        may_wait=False,
     ):
-        """Return the best target with free capacity, or None."""
+        """Return the best target with free capacity, or None.
+
+        If ``may_wait`` is true, None may also mean that peers have probably
+        taken the free slots of engines.
+        """
         candidates = [
-            (self._score(state, now_s), self._random_fraction(), state.target)
+            state
             for state in self._all_states()
             if state.target.target_id not in excluded
             and self._is_usable(state, regions, withheld_releases)
@@ -214,7 +230,54 @@
         ]
         if not candidates:
             return None
-        return min(candidates, key=lambda scored: scored[:2])[2]
+        if self._is_engine:
+            return self._choose_engine(candidates, now_s, may_wait)
+        return self._rank(candidates, now_s)[0].target
+
+    def _rank(self, states, now_s):
+        """Return the states from the best to the worst target."""
+        return sorted(
+            states,
+            key=lambda state: (
+                self._score(state, now_s),
+                self._random_fraction(),
+            ),
+        )
+
+    def _choose_engine(self, candidates, now_s, may_wait):
+        """Return an engine for a request, or None if it should wait.
+
+        Entries that all chose the least loaded engine by reports of the same
+        age would overload it. An entry therefore chooses at random among as
+        many of the least loaded engines as peers are expected to have placed
+        requests since their reports.
+        """
+        unseen_count = self._unseen.estimate(now_s=now_s)
+        if may_wait:
+            free_slots = sum(
+                self._limit(state.target)
+                - self.in_flight(state.target.target_id)
+                for state in candidates
+            )
+            if not self._claim_limit.allows_claim(
+                free_slots=free_slots, unseen=unseen_count, now_s=now_s
+            ):
+                return self._find_own_slot(candidates, now_s)
+            if unseen_count > free_slots:
+                self._claim_limit.record_claim()
+        ranked = self._rank(candidates, now_s)
+        choice_count = min(1 + int(unseen_count), len(ranked))
+        number = min(
+            int(self._random_fraction() * choice_count), choice_count - 1
+        )
+        return ranked[number].target
+
+    def _find_own_slot(self, candidates, now_s):
+        """Return an engine of which this entry has just freed a slot."""
+        for state in candidates:
+            if now_s - state.freed_s < conf.OWN_SLOT_S:
+                return state.target
+        return None
 
     def _all_states(self):
         return self._states_by_id.values()
