--- a/packages/savoryyoke-agent/savoryyoke_agent/balancer.py
+++ b/packages/savoryyoke-agent/savoryyoke_agent/balancer.py
@@ -1,7 +1,6 @@
 """Plan expert maps on the leader's VM."""
 
 import collections
-import dataclasses
 
 import anyio
 
@@ -10,7 +9,6 @@
 from savoryyoke.groups.balancing import demand
 from savoryyoke.groups.balancing import planner
 from savoryyoke.groups.balancing import search
-from savoryyoke.groups.balancing import thresholds
 
 from savoryyoke_agent import conf
 
@@ -37,15 +35,10 @@
         self._last_keep_reason = None
 
     def set_shape(self, shape):
-        """Set the ``GroupShape``.
-
-        Other numbers of experts or slots discard demand and maps.
-        """
-        previous_shape, self._shape = self._shape, shape
-        if previous_shape is not None and shape == dataclasses.replace(
-            previous_shape, pause_objective_s=shape.pause_objective_s
-        ):
+        """Set the ``GroupShape``; a changed one discards demand and maps."""
+        if shape == self._shape:
             return
+        self._shape = shape
         self._demand = demand.DemandEstimator(
             sets=shape.sets, experts=shape.experts
         )
@@ -93,15 +86,10 @@
             )
         if estimated_demand is None:
             return self._keep_map(version, 'demand-unknown')
-        min_gain = thresholds.choose_min_gain(
-            self._policy,
-            pass_s=self.mean_pass_s(),
-            pause_objective_s=self._shape.pause_objective_s,
-        )
-        if _is_balanced(present_map, estimated_demand, slowdowns, min_gain):
+        if self._is_balanced(present_map, estimated_demand, slowdowns):
             return self._keep_map(version, 'even')
         plan = await self._search(present_map, estimated_demand, slowdowns)
-        if plan.gain < min_gain:
+        if plan.gain < self._policy.min_gain:
             return self._keep_map(version, 'no-better-map')
         self._last_keep_reason = None
         logs.write_event(
@@ -111,7 +99,6 @@
             peak_after=plan.peak_after,
             copies=plan.copies,
             most_copies=plan.most_copies,
-            min_gain=min_gain,
             pass_s=self.mean_pass_s(),
         )
         return plan
@@ -130,6 +117,17 @@
                 pass_s=self.mean_pass_s(),
             )
 
+    def _is_balanced(self, present_map, estimated_demand, slowdowns):
+        """Return whether a perfectly even map would gain too little."""
+        peaks = [
+            search.find_peak(present_set, set_demand, slowdowns)
+            for present_set, set_demand in zip(
+                present_map, estimated_demand, strict=True
+            )
+        ]
+        mean_peak = sum(peaks) / len(peaks)
+        return 1 - 1 / mean_peak < self._policy.min_gain
+
     async def _search(self, present_map, estimated_demand, slowdowns):
         slices = planner.plan_in_slices(
             present_map,
@@ -149,15 +147,3 @@
             except StopIteration as stop:
                 return stop.value
             await anyio.sleep(0)
-
-
-def _is_balanced(present_map, estimated_demand, slowdowns, min_gain):
-    """Return whether a perfectly even map would gain too little."""
-    peaks = [
-        search.find_peak(present_set, set_demand, slowdowns)
-        for present_set, set_demand in zip(
-            present_map, estimated_demand, strict=True
-        )
-    ]
-    mean_peak = sum(peaks) / len(peaks)
-    return 1 - 1 / mean_peak < min_gain
--- a/packages/savoryyoke-agent/savoryyoke_agent/ports.py
+++ b/packages/savoryyoke-agent/savoryyoke_agent/ports.py
@@ -32,8 +32,6 @@
     The group has ``sets`` sets of ``experts`` experts each. A rank can hold
     ``slots`` experts of a set, and copy ``max_copies_per_rank`` of them in a
     map change. It takes ``copy_s`` seconds to copy one.
-    ``pause_objective_s`` is the longest pause between two events for which a
-    stream of the group's service is on time, if there is one.
     """
 
     sets: int
@@ -41,7 +39,6 @@
     slots: int
     max_copies_per_rank: int
     copy_s: float = 0.0
-    pause_objective_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/savoryyoke/savoryyoke/groups/balancing/conf.py
+++ b/packages/savoryyoke/savoryyoke/groups/balancing/conf.py
@@ -8,26 +8,17 @@
     """Hold the conditions under which a new map is proposed.
 
     A new map must shorten the experts' part of a forward pass by the share
-    ``min_gain`` at least, or by ``min_gain_at_limit`` if passes last about as
-    long as the pauses that callers accept. Forward passes must last
-    ``min_pass_s`` at least: for shorter ones callers gain nothing, while
-    copying experts slows passes down. Each copied expert must lower the
-    highest load of its set by ``min_reduction_per_copy`` times the mean demand
-    of a rank.
+    ``min_gain`` at least. Forward passes must last ``min_pass_s`` at least:
+    for shorter ones callers gain nothing, while copying experts slows passes
+    down. Each copied expert must lower the highest load of its set by
+    ``min_reduction_per_copy`` times the mean demand of a rank.
     """
 
     min_gain: float = 0.3
-    min_gain_at_limit: float = 0.12
     min_pass_s: float = 0.03
     min_reduction_per_copy: float = 0.08
 
 
-# Pass times, as shares of the longest pause that callers accept between two
-# events of a stream, between which the required gain of a map falls. Passes
-# that are much shorter leave room for an uneven map.
-RELAXED_PASS_SHARE = 0.5
-LIMIT_PASS_SHARE = 0.9
-
 # Number of versions of the map that each agent stores, so that they remain
 # available after a change of the leader.
 MAX_STORED_MAPS = 4
