Let only streams on slow ranks wait for a slot

A group that stands still makes all its streams silent; if each waited for a slot before queued requests, they could take each other's slots and be read again for nothing. Silent streams look for a free slot as before. Suspected, not seen: no play showed such moves.

--- a/packages/savoryyoke-gateway/savoryyoke_gateway/forwarder.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/forwarder.py
@@ -70,6 +70,7 @@
                 dispatching=dispatching,
                 translator=translator,
                 reporter=self._reporter,
+                place_retry=self._place_retry,
                 place_move=self._place_move,
                 crashes=crashes,
                 suspects=suspects,
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/tries.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/tries.py
@@ -21,8 +21,9 @@
 class TryRunner:
     """Send requests to targets and evaluate the answers.
 
-    ``place_move(call, decision)`` waits for a free target that a stream can
-    move to and returns the placement, or None.
+    ``place_retry(call, decision)`` returns a further placement, or None.
+    ``place_move(call, decision)`` waits for a free target that a stream on a
+    slow target can move to and returns the placement, or None.
     """
 
     def __init__(
@@ -31,6 +32,7 @@
         dispatching,
         translator,
         reporter,
+        place_retry,
         place_move,
         crashes,
         suspects,
@@ -39,6 +41,7 @@
         self._dispatching = dispatching
         self._translator = translator
         self._reporter = reporter
+        self._place_retry = place_retry
         self._place_move = place_move
         self._crashes = crashes
         self._suspects = suspects
@@ -95,9 +98,10 @@
         """
         while attempt.move is None:
             await anyio.sleep(self._time_to_check_s(attempt))
-            if self._find_move_reason(call, target, attempt) is None:
+            reason = self._find_move_reason(call, target, attempt)
+            if reason is None:
                 continue
-            move = await self._find_move(call)
+            move = await self._find_move(call, reason)
             if move is None:
                 continue
             reason = self._find_move_reason(call, target, attempt)
@@ -266,12 +270,19 @@
         attempt.result = _Result.ANSWERED
         return call.ledger.apply(events.StreamEnded())
 
-    async def _find_move(self, call):
-        """Return a move of a stream to another target, or None."""
+    async def _find_move(self, call, reason):
+        """Return a move of a stream to another target, or None.
+
+        Silent streams don't wait for slots: if a whole group is silent, they
+        would take each other's slots and be read anew for nothing.
+        """
         decision = call.ledger.apply(events.TargetSlow())
         if decision is None:
             return None
-        placement = await self._place_move(call, decision)
+        if reason == 'silent':
+            placement = self._place_retry(call, decision)
+        else:
+            placement = await self._place_move(call, decision)
         if placement is None:
             return None
         return calls.Move(placement=placement, decision=decision)
