--- a/tests/support.py
+++ b/tests/support.py
@@ -1,5 +1,6 @@
 """Share one fleet of real processes between the tests of a class."""
 
+import sys
 import threading
 import time
 import unittest
@@ -28,6 +29,23 @@
         )
         cls.enterClassContext(cls.fleet)
 
+    def run(self, result=None):
+        """Run the test; if it fails, print the ends of the entries' logs."""
+        problem_count = _count_problems(result)
+        result = super().run(result)
+        if _count_problems(result) > problem_count:
+            self._print_entry_logs()
+        return result
+
+    def _print_entry_logs(self):
+        for entry in self.entries:
+            process = self.fleet.processes_by_name[entry.vm_id]
+            print(
+                f'{entry.vm_id} running={process.running}\n'
+                f'{process.read_log()[-SHOWN_LOG_CHARACTERS:]}',
+                file=sys.stderr,
+            )
+
     def setUp(self):
         """Create a client and read the directory of entries."""
         super().setUp()
@@ -46,6 +64,10 @@
         return self.fleet.count_runs().get(reference, 0)
 
 
+def _count_problems(result):
+    return len(result.failures) + len(result.errors) if result else 0
+
+
 class Background:
     """Run one call in a thread and return its answer on request."""
 
