--- a/packages/savoryyoke-agent/savoryyoke_agent/daemon.py
+++ b/packages/savoryyoke-agent/savoryyoke_agent/daemon.py
@@ -23,6 +23,7 @@
 from savoryyoke_agent import delivery
 from savoryyoke_agent import exchange
 from savoryyoke_agent import membership
+from savoryyoke_agent import slowdowns
 
 from savoryyoke_edge import logs
 from savoryyoke_edge import supervision
@@ -89,6 +90,9 @@
             balancer=self._balancer,
             is_leading=lambda: self._leader is not None,
         )
+        self._slowdown = slowdowns.SlowdownReporting(
+            settings=settings, agent=self._agent, exchange=self._exchange
+        )
         self._outbox = []
         self._stopping = anyio.Event()
 
@@ -110,7 +114,7 @@
                 self._choices.run,
                 self._refresh_members,
                 self._plan,
-                self._report_slowdown,
+                self._slowdown.run,
                 self._watch_signals,
             ):
                 tasks.start_soon(supervision.keep_running, task)
@@ -340,10 +344,8 @@
                     self._cycle_due.set()
             case group.ChoicesReport():
                 self._choices.receive_choices(message.choices)
-            case group.MapContent():
+            case group.MapContent() | group.MapChangeContent():
                 self._receive_map(message)
-            case group.MapChangeContent():
-                self._receive_map_change(message)
             case group.MapRequest():
                 self._delivery.answer_request(message)
             case group.HeldReport():
@@ -380,37 +382,10 @@
         return dataclasses.replace(directive, expert_map=expert_map)
 
     def _receive_map(self, message):
-        state = self._agent.state
-        if state is None or message.group != state.group:
-            return
-        expert_map = message.expert_map
-        if self._balancer.contents.find_map(expert_map.version) is not None:
-            return
-        self.store_map(expert_map)
-        self._use_map(message, expert_map, state)
-
-    def _receive_map_change(self, message):
-        state, contents = self._agent.state, self._balancer.contents
-        if state is None or message.group != state.group:
-            return
-        if contents.find_map(message.change.version) is not None:
-            return
-        expert_map = contents.add_change(message.change, ranks=state.ranks)
-        if expert_map is None:
-            # The map is requested as a whole once it is overdue.
-            logs.write_event(
-                'map_change_unusable',
-                version=message.change.version,
-                base_version=message.change.base_version,
-            )
-            return
-        self._use_map(message, expert_map, state)
-
-    def _use_map(self, message, expert_map, state):
-        """Forward the message with a new map and prepare the map."""
-        self._delivery.forward_map(message, state)
-        self._agent.attach_map(expert_map)
-        self._cycle_due.set()
+        expert_map = self._delivery.receive(message, self._agent.state)
+        if expert_map is not None:
+            self._agent.attach_map(expert_map)
+            self._cycle_due.set()
 
     def _step_down(self, term):
         logs.write_event(
@@ -418,29 +393,6 @@
         )
         self._leader = None
 
-    async def _report_slowdown(self):
-        """Report this rank to entries while it is slow."""
-        was_slow = False
-        while True:
-            await anyio.sleep(conf.SLOWDOWN_REPORT_INTERVAL_S)
-            state = self._agent.state
-            is_slow = (
-                state is not None and state.pace >= conf.MIN_REPORTED_SLOWDOWN
-            )
-            if is_slow != was_slow:
-                was_slow = is_slow
-                logs.write_event('pace_changed', pace=state.pace)
-            if not is_slow:
-                continue
-            report = group.PaceReport(
-                address=self._settings.own_address, pace=state.pace
-            )
-            await self._exchange.send(
-                report,
-                self._settings.seed_hosts,
-                port=self._settings.pace_port,
-            )
-
     async def _refresh_members(self):
         while True:
             state = self._agent.state
--- a/packages/savoryyoke-agent/savoryyoke_agent/delivery.py
+++ b/packages/savoryyoke-agent/savoryyoke_agent/delivery.py
@@ -84,6 +84,42 @@
             )
         return group.MapChangeContent(group=directive.group, change=change)
 
+    def receive(self, message, state):
+        """Store, forward and return the map in a message from another rank.
+
+        Return None for a map that is known or of another group, and for
+        changes to a map that this rank lacks.
+        """
+        if state is None or message.group != state.group:
+            return None
+        if isinstance(message, group.MapChangeContent):
+            expert_map = self._restore_map(message.change, state)
+        else:
+            expert_map = self._store_map(message.expert_map)
+        if expert_map is not None:
+            self.forward_map(message, state)
+        return expert_map
+
+    def _store_map(self, expert_map):
+        if self._contents.find_map(expert_map.version) is not None:
+            return None
+        self._contents.add_map(expert_map)
+        return expert_map
+
+    def _restore_map(self, change, state):
+        """Store and return the map that a ``MapChange`` describes."""
+        if self._contents.find_map(change.version) is not None:
+            return None
+        expert_map = self._contents.add_change(change, ranks=state.ranks)
+        if expert_map is None:
+            # The map is requested as a whole once it is overdue.
+            logs.write_event(
+                'map_change_unusable',
+                version=change.version,
+                base_version=change.base_version,
+            )
+        return expert_map
+
     def forward_map(self, message, state):
         """Queue a received message for the own block, as its first rank."""
         if state.rank != blocks.find_head(state.rank, state.ranks):
--- a/packages/savoryyoke-agent/tests/test_delivery.py
+++ b/packages/savoryyoke-agent/tests/test_delivery.py
@@ -130,6 +130,44 @@
         ((_, hosts),) = self.exchange.sent
         self.assertEqual([make_host(rank) for rank in range(8, 14)], hosts)
 
+    async def test_received_map_is_stored_and_forwarded_once(self):
+        first_rank_delivery = self.build(7)
+        state = self.build_state(7)
+        self.assertEqual(
+            EXPERT_MAP, first_rank_delivery.receive(CONTENT, state)
+        )
+        self.assertIsNone(first_rank_delivery.receive(CONTENT, state))
+        await self.run_for(first_rank_delivery, 0.01)
+        self.assertEqual(1, len(self.exchange.sent))
+        self.assertEqual(EXPERT_MAP, self.contents.find_map(VERSION))
+
+    async def test_received_changes_are_applied_to_the_map_in_use(self):
+        message = group.MapChangeContent(
+            group='g',
+            change=models.MapChange(
+                version=VERSION + 1,
+                base_version=VERSION,
+                experts_by_rank_by_set=({3: (4, 5)},),
+            ),
+        )
+        first_rank_delivery = self.build(7)
+        state = self.build_state(7)
+        self.assertIsNone(first_rank_delivery.receive(message, state))
+        self.contents.add_map(EXPERT_MAP)
+        changed_map = first_rank_delivery.receive(message, state)
+        self.assertEqual((4, 5), changed_map.experts[0][3])
+        self.assertEqual((4,), changed_map.experts[0][4])
+        await self.run_for(first_rank_delivery, 0.01)
+        ((sent, _),) = self.exchange.sent
+        self.assertEqual(message, sent)
+
+    async def test_maps_of_other_groups_are_ignored(self):
+        other = dataclasses.replace(CONTENT, group='h')
+        member_delivery = self.build(8)
+        for state in (None, self.build_state(8)):
+            self.assertIsNone(member_delivery.receive(other, state))
+        self.assertIsNone(self.contents.find_map(VERSION))
+
     async def test_other_ranks_forward_nothing(self):
         member_delivery = self.build(8)
         member_delivery.forward_map(CONTENT, self.build_state(8))
