--- a/packages/savoryyoke-agent/savoryyoke_agent/conf.py
+++ b/packages/savoryyoke-agent/savoryyoke_agent/conf.py
@@ -25,10 +25,10 @@
 # Interval at which the leader searches for a better map.
 PLAN_INTERVAL_S = 0.1
 
-# A link of 4 Mbit/s drops what exceeds some 25 KB of a burst, and a directive
-# to 62 ranks takes 6 KB of that. Large messages are therefore paced after the
-# first bytes, at a rate that leaves a quarter of the link to other traffic.
-UNPACED_BYTES = 8_000
+# A link drops what exceeds its queue, and a directive to all ranks uses a part
+# of it. What takes longer than this on the own link is therefore paced, at a
+# rate that leaves a quarter of the link to other traffic.
+UNPACED_LINK_S = 0.016
 PACED_LINK_SHARE = 0.75
 
 # How long a rank waits for the map of a directive before it requests the map.
--- a/packages/savoryyoke-agent/savoryyoke_agent/exchange.py
+++ b/packages/savoryyoke-agent/savoryyoke_agent/exchange.py
@@ -25,6 +25,7 @@
     def __init__(self, *, host, port, link_bytes_per_s, receive, clock):
         self._host = host
         self._port = port
+        self._unpaced_bytes = conf.UNPACED_LINK_S * link_bytes_per_s
         self._paced_bytes_per_s = conf.PACED_LINK_SHARE * link_bytes_per_s
         self._receive = receive
         self._clock = clock
@@ -62,7 +63,7 @@
             async with self._send_lock:
                 await self._send_datagram(packed, host, self._port)
             sent_bytes += len(packed)
-            if sent_bytes > conf.UNPACED_BYTES:
+            if sent_bytes > self._unpaced_bytes:
                 await anyio.sleep(len(packed) / self._paced_bytes_per_s)
 
     def _encode(self, message):
