Remove work that the last reading found done twice

Found on reading the whole change again, no behaviour changes: - a drawn claim was kept although it is used at once; the number of the interval is all the state that is needed; - all free targets were sorted to use the best few; - the agent worked out the mean peak of a map as the planner does, and the planner did so for the present map at each level of its search; - the recent choices were summed twice for each estimate of demand.

Left: a request that can't be placed on arrival looks for a target twice.

--- a/packages/savoryyoke-agent/savoryyoke_agent/balancer.py
+++ b/packages/savoryyoke-agent/savoryyoke_agent/balancer.py
@@ -8,7 +8,6 @@
 from savoryyoke.groups.balancing import contents
 from savoryyoke.groups.balancing import demand
 from savoryyoke.groups.balancing import planner
-from savoryyoke.groups.balancing import search
 
 from savoryyoke_agent import conf
 
@@ -119,13 +118,9 @@
 
     def _is_balanced(self, present_map, estimated_demand, slowdowns):
         """Return whether a perfectly even map would gain too little."""
-        peaks = [
-            search.find_peak(present_set, set_demand, slowdowns)
-            for present_set, set_demand in zip(
-                present_map, estimated_demand, strict=True
-            )
-        ]
-        mean_peak = sum(peaks) / len(peaks)
+        mean_peak = planner.find_mean_peak(
+            present_map, estimated_demand, slowdowns
+        )
         return 1 - 1 / mean_peak < self._policy.min_gain
 
     async def _search(self, present_map, estimated_demand, slowdowns):
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/tries.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/tries.py
@@ -116,9 +116,8 @@
         )
         if attempt.reason == 'silent':
             attempt.result = _Result.TIMED_OUT
-        scope.cancel()
-        if attempt.reason == 'silent':
             self._crashes.record_silent_try(call, target)
+        scope.cancel()
 
     def _time_to_check_s(self, attempt):
         """Return the seconds until a stream is checked again."""
--- a/packages/savoryyoke/savoryyoke/groups/balancing/demand.py
+++ b/packages/savoryyoke/savoryyoke/groups/balancing/demand.py
@@ -96,10 +96,13 @@
         the baseline, from 0 to 1; otherwise it is None.
         """
         self._move_expired_to_baseline(now_s)
-        self._drop_choices_before_shift(now_s)
-        total_counts = list(
-            map(float.__add__, self._baseline, self._sum_recent())
-        )
+        recent_counts = self._sum_recent()
+        self.shift_distance = self._detect_shift(recent_counts, now_s)
+        if self.shift_distance is not None:
+            self._baseline = [0.0] * len(self._baseline)
+            self._drop_mixed_choices(now_s)
+            recent_counts = self._sum_recent()
+        total_counts = list(map(float.__add__, self._baseline, recent_counts))
         if not self._is_enough(total_counts):
             return None
         return [
@@ -131,21 +134,23 @@
             recent_counts = list(map(int.__add__, recent_counts, choices))
         return list(map(float, recent_counts))
 
-    def _drop_choices_before_shift(self, now_s):
-        self.shift_distance = None
-        recent_counts = self._sum_recent()
+    def _detect_shift(self, recent_counts, now_s):
+        """Return the distance to the baseline if demand has shifted.
+
+        Return None if it has not, or if there are too few choices.
+        """
         if not self._is_enough(recent_counts) or not self._is_enough(
             self._baseline
         ):
-            return
+            return None
         distance = self._find_mean_distance(recent_counts)
         is_settled = sum(self._baseline) >= conf.SETTLED_BASELINE_RATIO * sum(
             recent_counts
         )
-        if self._shifts.is_shift(distance, is_settled=is_settled, now_s=now_s):
-            self.shift_distance = distance
-            self._baseline = [0.0] * len(self._baseline)
-            self._drop_mixed_choices(now_s)
+        is_shift = self._shifts.is_shift(
+            distance, is_settled=is_settled, now_s=now_s
+        )
+        return distance if is_shift else None
 
     def _find_mean_distance(self, recent_counts):
         """Return the mean distance of recent demand to the baseline."""
--- a/packages/savoryyoke/savoryyoke/groups/balancing/planner.py
+++ b/packages/savoryyoke/savoryyoke/groups/balancing/planner.py
@@ -103,6 +103,7 @@
         )
         for present_set, set_demand in zip(present_map, demand, strict=True)
     ]
+    peak_before = find_mean_peak(present_map, demand, slowdowns)
     best_plan = None
     while True:
         yield from _improve_in_turn(searches)
@@ -111,6 +112,7 @@
             demand,
             [set_search.result() for set_search in searches],
             slowdowns=slowdowns,
+            peak_before=peak_before,
             most_copies=copy_limit.most_copies,
         )
         if best_plan is not None and (
@@ -134,11 +136,13 @@
         searches = improved
 
 
-def _build_plan(present_map, demand, planned_sets, *, slowdowns, most_copies):
+def _build_plan(
+    present_map, demand, planned_sets, *, slowdowns, peak_before, most_copies
+):
     return Plan(
         experts=tuple(planned_sets),
-        peak_before=_find_mean_peak(present_map, demand, slowdowns),
-        peak_after=_find_mean_peak(planned_sets, demand, slowdowns),
+        peak_before=peak_before,
+        peak_after=find_mean_peak(planned_sets, demand, slowdowns),
         copies=sum(
             search.count_copies(present_set, planned_set)
             for present_set, planned_set in zip(
@@ -149,7 +153,8 @@
     )
 
 
-def _find_mean_peak(experts_by_set, demand, slowdowns):
+def find_mean_peak(experts_by_set, demand, slowdowns):
+    """Return the result of ``search.find_peak``, averaged over the sets."""
     peaks = [
         search.find_peak(set_experts, set_demand, slowdowns)
         for set_experts, set_demand in zip(experts_by_set, demand, strict=True)
--- a/packages/savoryyoke/savoryyoke/placement/pool.py
+++ b/packages/savoryyoke/savoryyoke/placement/pool.py
@@ -1,6 +1,7 @@
 """Track the targets of a service and choose one for each request."""
 
 import collections
+import heapq
 import math
 
 from savoryyoke.placement import conf
@@ -232,11 +233,13 @@
             return None
         if self._is_engine:
             return self._choose_engine(candidates, now_s, may_wait)
-        return self._rank(candidates, now_s)[0].target
+        (best,) = self._find_best(1, candidates, now_s)
+        return best.target
 
-    def _rank(self, states, now_s):
-        """Return the states from the best to the worst target."""
-        return sorted(
+    def _find_best(self, count, states, now_s):
+        """Return the states of the ``count`` best targets, in order."""
+        return heapq.nsmallest(
+            count,
             states,
             key=lambda state: (
                 self._score(state, now_s),
@@ -263,14 +266,12 @@
                 free_slots=free_slots, unseen=unseen_count, now_s=now_s
             ):
                 return self._find_own_slot(candidates, now_s)
-            if unseen_count > free_slots:
-                self._claim_limit.record_claim()
-        ranked = self._rank(candidates, now_s)
-        choice_count = min(1 + int(unseen_count), len(ranked))
+        choice_count = min(1 + int(unseen_count), len(candidates))
+        best = self._find_best(choice_count, candidates, now_s)
         number = min(
             int(self._random_fraction() * choice_count), choice_count - 1
         )
-        return ranked[number].target
+        return best[number].target
 
     def _find_own_slot(self, candidates, now_s):
         """Return an engine of which this entry has just freed a slot."""
--- a/packages/savoryyoke/savoryyoke/placement/unseen.py
+++ b/packages/savoryyoke/savoryyoke/placement/unseen.py
@@ -52,21 +52,17 @@
     def __init__(self, *, random_fraction):
         self._random_fraction = random_fraction
         self._interval_number = None
-        self._may_claim = False
 
     def allows_claim(self, *, free_slots, unseen, now_s):
-        """Return whether a slot that a peer may have taken may be used."""
+        """Return whether a slot that a peer may have taken may be used.
+
+        A draw is good for one slot, so the caller must use it.
+        """
         claimable_slots = conf.CLAIMS_PER_FREE_SLOT * free_slots
         if unseen <= claimable_slots:
             return True
         interval_number = now_s // conf.CLAIM_INTERVAL_S
-        if interval_number != self._interval_number:
-            self._interval_number = interval_number
-            self._may_claim = (
-                self._random_fraction() < claimable_slots / unseen
-            )
-        return self._may_claim
-
-    def record_claim(self):
-        """Record that a slot was claimed; a draw is good for one claim."""
-        self._may_claim = False
+        if interval_number == self._interval_number:
+            return False
+        self._interval_number = interval_number
+        return self._random_fraction() < claimable_slots / unseen
