Log the rate limits that targets state in their answers

Nothing acts on it yet.

A limit ends with an answer that lacks it. Answers overtake each other, so one whose request was sent before the last statement arrived only lowers the limit. The end needs a request that was sent 0.5 s after the last statement, since refusals and failures may lack the header: with limits above two requests a second a statement is rarely older, and below, the end is noticed one request later.

Values that are no finite, non-negative number are logged once a target and otherwise ignored; they already were.

--- a/packages/savoryyoke-fakes/savoryyoke_fakes/deployment/replica.py
+++ b/packages/savoryyoke-fakes/savoryyoke_fakes/deployment/replica.py
@@ -100,7 +100,8 @@
     responses to single request bodies. ``fatal_requests`` holds
     ``FatalRequest`` objects. While ``is_leaving`` is true, responses carry
     the ``Server-Leaving`` header. While ``pause`` is set, all requests are
-    refused with it as the ``Retry-After`` header.
+    refused with it as the ``Retry-After`` header. While ``rate_limit`` is set,
+    responses carry it as the ``Server-Limit`` header.
     """
 
     def __init__(
@@ -119,6 +120,7 @@
         self.arrivals = []
         self.is_leaving = False
         self.pause = None
+        self.rate_limit = None
         self.work_s_by_body = {}
         self._common_oddities = common_oddities
         self._common_runs = common_runs
@@ -218,6 +220,8 @@
             notices.append(('Server-Leaving', '1'))
         if self.pause is not None:
             notices.append(('Retry-After', self.pause))
+        if self.rate_limit is not None:
+            notices.append(('Server-Limit', self.rate_limit))
         return notices
 
     def _build_headers(self, request, oddity):
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/daemon.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/daemon.py
@@ -307,6 +307,10 @@
                     'Requests that wait for a target.',
                     self._dispatching.queue_length,
                 ),
+                'rate_limited_targets': (
+                    'Targets that limit their requests per second.',
+                    self._dispatching.rate_limited_count,
+                ),
                 'quarantined': (
                     'Patterns of requests that are quarantined.',
                     self._suspects.quarantined_count,
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/dispatching.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/dispatching.py
@@ -43,6 +43,7 @@
         self._paces_by_address = {}
         self._waiters_by_id = {}
         self._unusable_pause_ids = set()
+        self._unusable_rate_limit_ids = set()
 
     def update_targets(self, *, services_by_name, targets, entry_count):
         """Replace services and targets.
@@ -50,7 +51,9 @@
         ``entry_count`` is the number of entries that share the request rate of
         a cold target.
         """
-        self._unusable_pause_ids &= {target.target_id for target in targets}
+        target_ids = {target.target_id for target in targets}
+        self._unusable_pause_ids &= target_ids
+        self._unusable_rate_limit_ids &= target_ids
         targets_by_service = {name: [] for name in services_by_name}
         for target in targets:
             targets_by_service.setdefault(target.service_name, []).append(
@@ -80,11 +83,12 @@
         self._peer_reports_by_id.pop(peer_id, None)
         self._apply_to_all(events.PeerLost(peer_id=peer_id))
 
-    def record_answer_head(self, service_name, target, head):
+    def record_answer_head(self, service_name, target, head, *, asked_s):
         """Apply the notices in the head of a target's answer.
 
-        A target can state there that it is leaving, or for how many seconds
-        it must get no requests.
+        A target can state there that it is leaving, for how many seconds it
+        must get no requests, or how many requests per second it takes. The
+        request was sent at ``asked_s``.
         """
         service_dispatcher = self._dispatchers_by_service[service_name]
         notices = service_dispatcher.pool.notices
@@ -114,6 +118,12 @@
             )
         if head.pause_s is not None:
             self._record_pause(service_dispatcher, target, head.pause_s)
+        if head.unusable_rate_limit is not None:
+            self._report_unusable_rate_limit(target, head.unusable_rate_limit)
+        elif not head.is_misdirected:
+            self._record_rate_limit(
+                service_dispatcher, target, head, asked_s=asked_s
+            )
 
     def _record_pause(self, service_dispatcher, target, pause_s):
         notices = service_dispatcher.pool.notices
@@ -136,6 +146,68 @@
             granted_s=end_s - now_s if end_s is not None else 0.0,
         )
 
+    def _report_unusable_rate_limit(self, target, value):
+        if target.target_id in self._unusable_rate_limit_ids:
+            return
+        self._unusable_rate_limit_ids.add(target.target_id)
+        logs.write_event(
+            'rate_limit_refused',
+            level='warning',
+            target=target.target_id,
+            value=value,
+            reason='not a number of requests per second',
+        )
+
+    def _record_rate_limit(self, service_dispatcher, target, head, *, asked_s):
+        limits = service_dispatcher.pool.rate_limits
+        if head.rate_limit_per_s is None and (
+            head.fault is not None or limits.limit_per_s(target) is None
+        ):
+            return
+        previous_per_s = limits.limit_per_s(target)
+        self._apply(
+            service_dispatcher,
+            events.RateLimitAnswered(
+                target=target,
+                limit_per_s=head.rate_limit_per_s,
+                asked_s=asked_s,
+            ),
+        )
+        self._report_rate_limit(
+            service_dispatcher, target, previous_per_s, source='answer'
+        )
+
+    def _report_rate_limit(
+        self, service_dispatcher, target, previous_per_s, *, source
+    ):
+        """Log and count a target's rate limit if it has changed."""
+        limit_per_s = service_dispatcher.pool.rate_limits.limit_per_s(target)
+        if limit_per_s == previous_per_s:
+            return
+        if previous_per_s is None:
+            self._metrics.count_notice('rate-limited')
+        logs.write_event(
+            'target_rate_limited',
+            target=target.target_id,
+            incarnation=target.incarnation,
+            service=target.service_name,
+            limit_per_s=limit_per_s,
+            previous_per_s=previous_per_s,
+            source=source,
+        )
+
+    def rate_limited_count(self):
+        """Return how many targets state a rate limit."""
+        return sum(
+            service_dispatcher.pool.rate_limits.limited_count()
+            for service_dispatcher in self._dispatchers_by_service.values()
+        )
+
+    def rate_limit_per_s(self, service_name, target):
+        """Return the rate limit of a target, or None without one."""
+        service_dispatcher = self._dispatchers_by_service[service_name]
+        return service_dispatcher.pool.rate_limits.limit_per_s(target)
+
     def leaving_hints(self):
         """Return hints on targets that stated in an answer that they leave."""
         return tuple(
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/metrics.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/metrics.py
@@ -74,7 +74,8 @@
         )
         self._notices = prometheus_client.Counter(
             'savoryyoke_gateway_target_notices',
-            'Targets whose answers said that they leave or want a pause.',
+            'Targets whose answers said that they leave, want a pause or limit'
+            ' their requests per second.',
             ['kind'],
             registry=registry,
         )
@@ -95,7 +96,7 @@
         self._restored_platforms.inc()
 
     def count_notice(self, kind):
-        """Count a notice; ``kind`` is ``leaving`` or ``paused``."""
+        """Count a notice; ``kind`` names what it said."""
         self._notices.labels(kind).inc()
 
     def count_hedge(self, *, service):
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/reporting.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/reporting.py
@@ -41,6 +41,9 @@
             service=call.service_name,
             target=placement.target.target_id,
             in_flight=placement.in_flight,
+            rate_limit_per_s=self._dispatching.rate_limit_per_s(
+                call.service_name, placement.target
+            ),
             queued=self._dispatching.queue_length(),
             waited_s=call.waited_s,
             as_of=stamp.as_of,
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/requests.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/requests.py
@@ -56,7 +56,9 @@
     ``is_leaving`` is true if the intended target states that it is leaving.
     ``pause_s`` is how many seconds it must get no requests, None if it
     states no such time; ``unusable_pause`` is the text of a stated time that
-    can't be parsed.
+    can't be parsed. ``rate_limit_per_s`` is how many requests a second it
+    takes from all entries together, None if it states no limit;
+    ``unusable_rate_limit`` is the text of a limit that can't be parsed.
     """
 
     status: int
@@ -67,6 +69,8 @@
     is_leaving: bool = False
     pause_s: float | None = None
     unusable_pause: str | None = None
+    rate_limit_per_s: float | None = None
+    unusable_rate_limit: str | None = None
 
     @property
     def is_success(self):
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/tries.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/tries.py
@@ -154,7 +154,7 @@
                 call, target, exchange, attempt, resume_after
             )
             self._dispatching.record_answer_head(
-                call.service_name, target, head
+                call.service_name, target, head, asked_s=attempt.sent_s
             )
             if head.is_refusal or head.is_misdirected:
                 attempt.result = _classify_refusal(head)
--- a/packages/savoryyoke/savoryyoke/placement/conf.py
+++ b/packages/savoryyoke/savoryyoke/placement/conf.py
@@ -42,6 +42,10 @@
 # 1,300 targets that are replaced three times, at 32 bytes and a key each.
 NOTICES_LIMIT = 4096
 
+# A target's rate limit ends with an answer that doesn't state it whose request
+# was sent this long after the last answer that did.
+RATE_LIMIT_END_S = 0.5
+
 # The rate at which this entry places requests is measured over this time.
 PLACEMENT_RATE_WINDOW_S = 1.0
 # The requests of a peer that is silent for longer tell nothing about what it
--- a/packages/savoryyoke/savoryyoke/placement/dispatcher.py
+++ b/packages/savoryyoke/savoryyoke/placement/dispatcher.py
@@ -105,6 +105,16 @@
         )
         return self._process_queue(now_s)
 
+    @_apply.register
+    def _(self, event: events.RateLimitAnswered, now_s):
+        self._pool.rate_limits.record_answer(
+            event.target,
+            limit_per_s=event.limit_per_s,
+            asked_s=event.asked_s,
+            now_s=now_s,
+        )
+        return ()
+
     @_apply.register
     def _(self, event: events.LeavingHintsReceived, now_s):
         self._pool.notices.record_hints(event.hints, now_s=now_s)
--- a/packages/savoryyoke/savoryyoke/placement/events.py
+++ b/packages/savoryyoke/savoryyoke/placement/events.py
@@ -133,6 +133,20 @@
     pause_s: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RateLimitAnswered:
+    """Report the rate limit that a target stated in an answer.
+
+    ``limit_per_s`` is the number of requests per second that it takes from
+    all entries together, or None if the answer stated no limit. ``asked_s``
+    is when the answered request was sent, on the dispatcher's clock.
+    """
+
+    target: models.Target
+    limit_per_s: float | None
+    asked_s: float
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class LeavingHintsReceived:
     """Report the leaving targets that another entry has listed."""
--- a/packages/savoryyoke/savoryyoke/placement/notices.py
+++ b/packages/savoryyoke/savoryyoke/placement/notices.py
@@ -39,7 +39,7 @@
         """Record that a target leaves; return whether that is new."""
         if self.is_leaving(target):
             return False
-        _put_newest(self._announced_s_by_key, _build_key(target), now_s)
+        put_newest(self._announced_s_by_key, build_key(target), now_s)
         return True
 
     def record_hints(self, hints, *, now_s):
@@ -51,7 +51,7 @@
                 announced_s,
                 self._hint_announced_s_by_key.get(key, announced_s),
             )
-            _put_newest(self._hint_announced_s_by_key, key, announced_s)
+            put_newest(self._hint_announced_s_by_key, key, announced_s)
 
     def record_pause(self, target, *, pause_s, now_s):
         """Record a requested pause; return the time at which it ends.
@@ -60,7 +60,7 @@
         ``PAUSE_MAX_S``.
         """
         self._remove_old_pauses(now_s)
-        key = _build_key(target)
+        key = build_key(target)
         end_s = now_s + min(max(pause_s, 0.0), conf.PAUSE_MAX_S)
         end_s = max(end_s, self._pause_ends_s_by_key.get(key, end_s))
         self._pause_ends_s_by_key[key] = end_s
@@ -73,11 +73,11 @@
 
     def is_leaving(self, target):
         """Return whether a target has announced that it leaves."""
-        return _build_key(target) in self._announced_s_by_key
+        return build_key(target) in self._announced_s_by_key
 
     def has_leaving_hint(self, target, *, now_s):
         """Return whether an unexpired hint says that a target leaves."""
-        announced_s = self._hint_announced_s_by_key.get(_build_key(target))
+        announced_s = self._hint_announced_s_by_key.get(build_key(target))
         return (
             announced_s is not None
             and now_s - announced_s < conf.HINT_LIFETIME_S
@@ -85,12 +85,12 @@
 
     def pause_end_s(self, target, *, now_s):
         """Return the end of a target's current pause, or None."""
-        end_s = self._pause_ends_s_by_key.get(_build_key(target))
+        end_s = self._pause_ends_s_by_key.get(build_key(target))
         return end_s if end_s is not None and now_s < end_s else None
 
     def in_flight_limit(self, target, *, now_s):
         """Return the limit of requests in flight; None without a limit."""
-        end_s = self._pause_ends_s_by_key.get(_build_key(target))
+        end_s = self._pause_ends_s_by_key.get(build_key(target))
         if end_s is None:
             return None
         if now_s < end_s:
@@ -122,11 +122,12 @@
         }
 
 
-def _build_key(target):
+def build_key(target):
+    """Return the key of a target's incarnation."""
     return (target.target_id, target.incarnation)
 
 
-def _put_newest(values_by_key, key, value):
+def put_newest(values_by_key, key, value):
     """Store a value; drop the oldest ones beyond ``NOTICES_LIMIT``."""
     values_by_key[key] = value
     values_by_key.move_to_end(key)
--- a/packages/savoryyoke/savoryyoke/placement/pool.py
+++ b/packages/savoryyoke/savoryyoke/placement/pool.py
@@ -7,6 +7,7 @@
 from savoryyoke.placement import conf
 from savoryyoke.placement import health
 from savoryyoke.placement import notices
+from savoryyoke.placement import rate_limits
 from savoryyoke.placement import unseen
 
 
@@ -79,6 +80,7 @@
         self._unseen = unseen.UnseenPlacements()
         self._claim_limit = unseen.ClaimLimit(random_fraction=random_fraction)
         self.notices = notices.TargetNotices()
+        self.rate_limits = rate_limits.RateLimits()
 
     def set_cold_rate(self, rate_per_s):
         """Set this entry's share of the cold limit, per second and target.
--- /dev/null
+++ b/packages/savoryyoke/tests/placement/test_rate_limits.py
@@ -0,0 +1,69 @@
+"""Test how rate limits of targets are tracked."""
+
+import unittest
+
+from savoryyoke.placement import models
+from savoryyoke.placement import rate_limits
+
+
+def build_target(*, target_id='a', incarnation=1):
+    return models.Target(
+        target_id=target_id,
+        incarnation=incarnation,
+        service_name='s',
+        host='10.0.0.1',
+        port=80,
+        data_centre='dc-a',
+        region='r',
+        slots=4,
+        is_draining=False,
+        is_in_service=True,
+    )
+
+
+class StatementTests(unittest.TestCase):
+    def setUp(self):
+        self.limits = rate_limits.RateLimits()
+        self.target = build_target()
+
+    def answer(self, limit_per_s, *, asked_s, now_s):
+        self.limits.record_answer(
+            self.target, limit_per_s=limit_per_s, asked_s=asked_s, now_s=now_s
+        )
+        return self.limits.limit_per_s(self.target)
+
+    def test_no_statement(self):
+        self.assertIsNone(self.answer(None, asked_s=0.0, now_s=1.0))
+
+    def test_newer_statement_replaces_the_limit(self):
+        self.assertEqual(2.0, self.answer(2.0, asked_s=0.0, now_s=1.0))
+        self.assertEqual(8.0, self.answer(8.0, asked_s=1.0, now_s=1.2))
+        self.assertEqual(3.0, self.answer(3.0, asked_s=1.3, now_s=1.4))
+
+    def test_answer_that_was_overtaken_does_not_raise_the_limit(self):
+        self.answer(2.0, asked_s=0.0, now_s=1.0)
+        self.assertEqual(2.0, self.answer(8.0, asked_s=0.5, now_s=1.1))
+
+    def test_answer_that_was_overtaken_lowers_the_limit(self):
+        self.answer(8.0, asked_s=0.0, now_s=1.0)
+        self.assertEqual(2.0, self.answer(2.0, asked_s=0.5, now_s=1.1))
+
+    def test_raised_limit_is_noticed_under_concurrent_requests(self):
+        self.answer(2.0, asked_s=0.0, now_s=1.0)
+        for step in range(20):
+            now_s = 1.0 + 0.1 * step
+            limit_per_s = self.answer(8.0, asked_s=now_s - 0.5, now_s=now_s)
+        self.assertEqual(8.0, limit_per_s)
+
+    def test_limit_ends_with_an_answer_without_it(self):
+        self.answer(2.0, asked_s=0.0, now_s=1.0)
+        self.assertIsNone(self.answer(None, asked_s=2.0, now_s=2.1))
+
+    def test_single_answers_without_the_limit_do_not_end_it(self):
+        self.answer(2.0, asked_s=0.0, now_s=1.0)
+        self.assertEqual(2.0, self.answer(None, asked_s=0.9, now_s=3.0))
+        self.assertEqual(2.0, self.answer(None, asked_s=1.2, now_s=3.0))
+
+    def test_next_incarnation_has_no_limit(self):
+        self.answer(2.0, asked_s=0.0, now_s=1.0)
+        self.assertIsNone(self.limits.limit_per_s(build_target(incarnation=2)))
