--- a/packages/savoryyoke-fakes/savoryyoke_fakes/deployment/replica.py
+++ b/packages/savoryyoke-fakes/savoryyoke_fakes/deployment/replica.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 import enum
+import time
 
 import anyio
 
@@ -101,7 +102,8 @@
     ``FatalRequest`` objects. While ``is_leaving`` is true, responses carry
     the ``Server-Leaving`` header. While ``pause`` is set, all requests are
     refused with it as the ``Retry-After`` header. While ``rate_limit`` is set,
-    responses carry it as the ``Server-Limit`` header.
+    responses carry it as the ``Server-Limit`` header. ``arrivals`` lists the
+    requests in order, ``arrival_times_s`` their monotonic times in seconds.
     """
 
     def __init__(
@@ -118,6 +120,7 @@
         self.events = events
         self.oddities = collections.deque()
         self.arrivals = []
+        self.arrival_times_s = []
         self.is_leaving = False
         self.pause = None
         self.rate_limit = None
@@ -142,6 +145,7 @@
 
     async def _answer(self, request, connection):
         self.arrivals.append(request)
+        self.arrival_times_s.append(time.monotonic())
         oddity = self._pop_oddity()
         expected = request.headers.get('x-expect-instance')
         if oddity is Oddity.OTHER_INSTANCE or (
