Keep the rate limits that targets state, over all entries together

Cause: no entry read the limit. Reading it alone would not have been enough: each entry would have used all of it, or an eighth, which is one request in 8 s for a limit of one a second.

Each entry now keeps a leaky bucket for each limited target, filled with the requests of all entries. Heartbeats carry the limit and a counter of the sender's requests. Entries may claim half of the room in 0.3 s together, by their shares of the demand; unheard entries keep their part of the limit. What no target can take waits or is refused at once, with the time of its turn.

Ruled out: equal parts (unused where callers come unevenly), one deciding entry (a hop for each request), the agents (plain services have none). The cold limit keeps its equal parts, see docs/decisions/rate-limits.md.

Constants: a burst of a second and two requests leaves L + 3 of the users' bound in 4 s (1.5 L + 5) for requests that entries send before they hear of each other. 0.3 s is the existing time in which peers report; half of the room, since in fleets that relay a report takes up to two of them. 4 s for the demand: less counts a single request as a rate, more follows callers late.

--- a/packages/savoryyoke-gateway/savoryyoke_gateway/conf.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/conf.py
@@ -104,6 +104,8 @@
 # Number of entries assumed until heartbeats show more. Each user has 8 entry
 # VMs.
 EXPECTED_ENTRY_COUNT = 8
+# Time after the start in which an entry hears all others that it can reach.
+ENTRIES_HEARD_AFTER_S = 3.0
 
 # Part of the grace time that is reserved for ending the process.
 STOP_MARGIN_S = 0.6
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/dispatching.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/dispatching.py
@@ -1,6 +1,7 @@
 """Hold requests until the dispatcher of their service decides on them."""
 
 import dataclasses
+import itertools
 
 import anyio
 
@@ -44,6 +45,7 @@
         self._waiters_by_id = {}
         self._unusable_pause_ids = set()
         self._unusable_rate_limit_ids = set()
+        self._rate_report_numbers = itertools.count()
 
     def update_targets(self, *, services_by_name, targets, entry_count):
         """Replace services and targets.
@@ -196,6 +198,52 @@
             source=source,
         )
 
+    def set_entry_counts(self, *, known, heard):
+        """Set how many entries share the rate limits, and how many are heard.
+
+        Both numbers include this entry.
+        """
+        for service_dispatcher in self._dispatchers_by_service.values():
+            service_dispatcher.pool.rate_limits.set_entry_counts(
+                known=known, heard=heard
+            )
+
+    def rate_reports(self):
+        """Return reports on rate limits for other entries.
+
+        If there are more than ``RATE_REPORTS_LIMIT``, others are returned
+        with each call.
+        """
+        reports = [
+            report
+            for service_dispatcher in self._dispatchers_by_service.values()
+            for report in service_dispatcher.pool.rate_limits.reports(
+                now_s=self._clock()
+            )
+        ]
+        limit = placement_conf.RATE_REPORTS_LIMIT
+        if len(reports) <= limit:
+            return tuple(reports)
+        start = next(self._rate_report_numbers) * limit % len(reports)
+        return tuple((reports[start:] + reports[:start])[:limit])
+
+    def add_rate_reports(self, reports, *, peer_id, peer_incarnation):
+        """Apply a peer's reports on rate limits."""
+        event = events.RateLimitsReported(
+            peer_id=peer_id, peer_incarnation=peer_incarnation, reports=reports
+        )
+        for service_dispatcher in self._dispatchers_by_service.values():
+            targets = service_dispatcher.pool.find_targets(
+                report.key for report in reports
+            )
+            limits = service_dispatcher.pool.rate_limits
+            previous = [limits.limit_per_s(target) for target in targets]
+            self._apply(service_dispatcher, event)
+            for target, previous_per_s in zip(targets, previous, strict=True):
+                self._report_rate_limit(
+                    service_dispatcher, target, previous_per_s, source=peer_id
+                )
+
     def rate_limited_count(self):
         """Return how many targets state a rate limit."""
         return sum(
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/peering.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/peering.py
@@ -14,6 +14,7 @@
 from savoryyoke.peers import table
 
 from savoryyoke_edge import logs
+from savoryyoke_gateway import conf
 from savoryyoke_gateway import copying
 from savoryyoke_wire import exceptions as wire_exceptions
 from savoryyoke_wire import fleet
@@ -26,6 +27,7 @@
     'leaving_targets',
     'contact_hosts',
     'slow_targets',
+    'rate_reports',
     'in_flight',
 )
 
@@ -60,6 +62,7 @@
         self._suspects = suspects
         self._get_entry_state = get_entry_state
         self._clock = clock
+        self._started_s = clock()
         self._incarnation = int(random_fraction() * 2**63)
         self._sequence = itertools.count(1)
         self._live_peer_ids = set()
@@ -115,9 +118,22 @@
                     )
                     self._published_state.expire()
                     self._publish_paces()
+                    self._dispatching.set_entry_counts(
+                        known=self._count_known_entries(),
+                        heard=1 + len(self.table.alive(now_s=self._clock())),
+                    )
                     self._dispatching.tick()
                     await anyio.sleep(self._interval_s())
 
+    def _count_known_entries(self):
+        """Return the number of entries, with this one.
+
+        An entry that has just started may not hear all others yet.
+        """
+        if self._clock() - self._started_s < conf.ENTRIES_HEARD_AFTER_S:
+            return max(self.table.max_entry_count, conf.EXPECTED_ENTRY_COUNT)
+        return self.table.max_entry_count
+
     def _interval_s(self):
         return pacing.choose_interval_s(
             peer_count=self.table.max_entry_count - 1
@@ -216,6 +232,7 @@
                 now_s=self._clock()
             ),
             leaving_targets=self._dispatching.leaving_hints(),
+            rate_reports=self._dispatching.rate_reports(),
             evidence_digest=self._suspects.digest(),
             crashes=self._suspects.reports_due(
                 self.table.alive(now_s=self._clock())
@@ -260,6 +277,11 @@
             heartbeat.slow_targets, now_s=self._clock()
         )
         self._dispatching.add_leaving_hints(heartbeat.leaving_targets)
+        self._dispatching.add_rate_reports(
+            heartbeat.rate_reports,
+            peer_id=heartbeat.sender_id,
+            peer_incarnation=heartbeat.incarnation,
+        )
         self._suspects.add_reports(
             heartbeat.crashes, source=heartbeat.sender_id
         )
--- a/packages/savoryyoke-wire/savoryyoke_wire/fleet.capnp
+++ b/packages/savoryyoke-wire/savoryyoke_wire/fleet.capnp
@@ -27,6 +27,17 @@
   ageS @2 :Float64;
 }
 
+struct RateReport {
+  targetId @0 :Text;
+  incarnation @1 :Int64;
+  # False if the target no longer states a limit.
+  isLimited @2 :Bool;
+  limitPerS @3 :Float64;
+  ageS @4 :Float32;
+  sentCount @5 :UInt32;
+  demandPerS @6 :Float32;
+}
+
 struct Heartbeat {
   version @0 :UInt16;
   senderId @1 :Text;
@@ -49,6 +60,7 @@
   configurationVersion @17 :Int64;
   canRelay @18 :Bool;
   wantsRelay @19 :Bool;
+  rateReports @20 :List(RateReport);
 }
 
 struct Item {
--- a/packages/savoryyoke-wire/savoryyoke_wire/fleet.py
+++ b/packages/savoryyoke-wire/savoryyoke_wire/fleet.py
@@ -6,6 +6,7 @@
 
 from savoryyoke.peers import messages
 from savoryyoke.placement import notices
+from savoryyoke.placement import rate_limits
 from savoryyoke.published import models
 from savoryyoke.quarantine import evidence
 from savoryyoke_wire import conf
@@ -52,6 +53,7 @@
         item.targetId = target.target_id
         item.incarnation = target.incarnation
         item.ageS = target.age_s
+    _write_rate_reports(message, heartbeat.rate_reports)
     crashes = message.init('crashes', len(heartbeat.crashes))
     for item, report in zip(crashes, heartbeat.crashes, strict=True):
         item.crashId = report.crash_id
@@ -113,6 +115,9 @@
                 )
                 for target in message.leavingTargets
             ),
+            rate_reports=tuple(
+                _read_rate_report(report) for report in message.rateReports
+            ),
             evidence_digest=message.evidenceDigest,
             crashes=tuple(_read_crash(report) for report in message.crashes),
         )
@@ -166,6 +171,29 @@
         raise _build_malformed_error(error) from error
 
 
+def _write_rate_reports(message, reports):
+    items = message.init('rateReports', len(reports))
+    for item, report in zip(items, reports, strict=True):
+        item.targetId = report.target_id
+        item.incarnation = report.incarnation
+        item.isLimited = report.limit_per_s is not None
+        item.limitPerS = report.limit_per_s or 0.0
+        item.ageS = report.age_s
+        item.sentCount = report.sent_count
+        item.demandPerS = report.demand_per_s
+
+
+def _read_rate_report(message):
+    return rate_limits.RateReport(
+        target_id=message.targetId,
+        incarnation=message.incarnation,
+        limit_per_s=message.limitPerS if message.isLimited else None,
+        age_s=message.ageS,
+        sent_count=message.sentCount,
+        demand_per_s=message.demandPerS,
+    )
+
+
 def _write_item(message, item):
     message.key = item.key
     message.revision = item.revision.number
--- a/packages/savoryyoke-wire/tests/test_fleet.py
+++ b/packages/savoryyoke-wire/tests/test_fleet.py
@@ -5,6 +5,7 @@
 
 from savoryyoke.peers import messages
 from savoryyoke.placement import notices
+from savoryyoke.placement import rate_limits
 from savoryyoke.published import models
 from savoryyoke.quarantine import evidence
 
@@ -30,6 +31,24 @@
     leaving_targets=(
         notices.LeavingTarget(target_id='t3', incarnation=2**41, age_s=1.5),
     ),
+    rate_reports=(
+        rate_limits.RateReport(
+            target_id='t4',
+            incarnation=2**41,
+            limit_per_s=0.25,
+            age_s=1.5,
+            sent_count=2**31,
+            demand_per_s=3.5,
+        ),
+        rate_limits.RateReport(
+            target_id='t5',
+            incarnation=1,
+            limit_per_s=None,
+            age_s=0.5,
+            sent_count=0,
+            demand_per_s=0.0,
+        ),
+    ),
     evidence_digest=2**64 - 1,
     crashes=(
         evidence.CrashReport(
--- a/packages/savoryyoke/savoryyoke/peers/messages.py
+++ b/packages/savoryyoke/savoryyoke/peers/messages.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from savoryyoke.placement import notices
+from savoryyoke.placement import rate_limits
 from savoryyoke.published import models as published_models
 from savoryyoke.quarantine import evidence
 
@@ -34,7 +35,8 @@
     configuration in force, 0 without one. ``contact_hosts`` are hosts of
     entries from which it receives heartbeats. ``slow_targets`` are the targets
     whose own VMs have reported to it that they are slow. ``leaving_targets``
-    are the targets that have announced to it that they leave.
+    are the targets that have announced to it that they leave, and
+    ``rate_reports`` its reports on the rate limits that targets state.
     ``evidence_digest`` is a digest of its crash reports, and ``crashes`` are
     the reports that another entry seems to lack. ``can_relay`` is false for an
     entry that does not pass on heartbeats, and ``wants_relay`` asks a
@@ -54,6 +56,7 @@
     contact_hosts: tuple[str, ...]
     slow_targets: tuple[SlowTarget, ...] = ()
     leaving_targets: tuple[notices.LeavingTarget, ...] = ()
+    rate_reports: tuple[rate_limits.RateReport, ...] = ()
     evidence_digest: int = 0
     crashes: tuple[evidence.CrashReport, ...] = ()
     configuration_version: int = 0
--- a/packages/savoryyoke/savoryyoke/peers/pacing.py
+++ b/packages/savoryyoke/savoryyoke/peers/pacing.py
@@ -21,7 +21,7 @@
     def select(self, heartbeat, *, now_s):
         """Return the heartbeat to send, or None to send nothing.
 
-        The sequence number and the ages of leaving targets don't count as
+        The sequence number, the ages of notices and the demand don't count as
         changes. Contacts are removed from the heartbeat if they have been sent
         within ``CONTACTS_INTERVAL_S`` and have not changed.
         """
@@ -57,7 +57,16 @@
         dataclasses.replace(target, age_s=0.0)
         for target in heartbeat.leaving_targets
     )
-    return dataclasses.replace(heartbeat, sequence=0, leaving_targets=leaving)
+    rate_reports = tuple(
+        dataclasses.replace(report, age_s=0.0, demand_per_s=0.0)
+        for report in heartbeat.rate_reports
+    )
+    return dataclasses.replace(
+        heartbeat,
+        sequence=0,
+        leaving_targets=leaving,
+        rate_reports=rate_reports,
+    )
 
 
 def choose_interval_s(*, peer_count):
--- a/packages/savoryyoke/savoryyoke/placement/conf.py
+++ b/packages/savoryyoke/savoryyoke/placement/conf.py
@@ -46,6 +46,39 @@
 # was sent this long after the last answer that did.
 RATE_LIMIT_END_S = 0.5
 
+# The end of a rate limit is reported to other entries for this time. A limit
+# that is not stated again is removed after RATE_LIMIT_LIFETIME_S, which is
+# longer than targets that are replaced stay published.
+RATE_LIMIT_END_LIFETIME_S = 5.0
+RATE_LIMIT_LIFETIME_S = 600.0
+
+# A target that states a lower rate limit, or zero, gets requests at this rate:
+# only an answer shows that the limit has ended.
+LOWEST_RATE_PER_S = 1.0 / 30.0
+
+# All entries together may send a target the requests of RATE_BURST_S and
+# RATE_BURST_REQUESTS at once. The users tolerate 1.5 times the limit and five
+# requests in 4 s, so the rest covers entries that send at the same time.
+RATE_BURST_S = 1.0
+RATE_BURST_REQUESTS = 2.0
+
+# Part of the unused rate that all entries may claim in a CLAIM_INTERVAL_S. In
+# large fleets, a report may take two intervals to reach all entries.
+RATE_CLAIM_SHARE = 0.5
+
+# Time constant of the average rate of requests of an entry, and the rate that
+# is assumed for an entry without requests.
+DEMAND_WINDOW_S = 4.0
+LOWEST_DEMAND_PER_S = 0.25
+
+# Callers that were refused because of rate limits get retry times that are
+# spread over this interval after their expected turn.
+RATE_RETRY_SPREAD_S = 0.3
+
+# Limits the reports on rate limits in a heartbeat, which take about 50 bytes
+# each.
+RATE_REPORTS_LIMIT = 48
+
 # The rate at which this entry places requests is measured over this time.
 PLACEMENT_RATE_WINDOW_S = 1.0
 # The requests of a peer that is silent for longer tell nothing about what it
--- a/packages/savoryyoke/savoryyoke/placement/dispatcher.py
+++ b/packages/savoryyoke/savoryyoke/placement/dispatcher.py
@@ -37,7 +37,9 @@
     restarts, new requests are refused with a retry time at which the group
     may be back. Retried requests wait in the queue. While all targets are
     paused, a request that can't wait for the end of the earliest pause is
-    refused and retried after it.
+    refused and retried after it. While all targets limit their rates, a
+    request is refused if its turn is not expected within its wait, also if a
+    more urgent one takes its turn.
 
     ``random_fraction`` is a function that returns a random number from 0 to 1.
     """
@@ -113,6 +115,16 @@
             asked_s=event.asked_s,
             now_s=now_s,
         )
+        return self._process_queue(now_s)
+
+    @_apply.register
+    def _(self, event: events.RateLimitsReported, now_s):
+        self._pool.add_rate_reports(
+            event.reports,
+            peer_id=event.peer_id,
+            peer_incarnation=event.peer_incarnation,
+            now_s=now_s,
+        )
         return ()
 
     @_apply.register
@@ -141,6 +153,7 @@
             excluded=event.tried_target_ids,
             withheld_releases=event.withheld_releases,
         )
+        self._pool.rate_limits.record_demand(now_s=now_s)
         if target is None:
             return [self._refuse(event, _Reason.NO_OTHER_TARGET)]
         return [self._place(event.request_id, target, now_s)]
@@ -153,15 +166,60 @@
             return self._handle_no_service(event, now_s)
         waiting = self._enqueue(event)
         decided = self._process_queue(now_s)
+        self._pool.rate_limits.record_demand(now_s=now_s)
         if (
             waiting in self._queue
             and self._find_target(waiting, now_s, may_wait=False) is None
-            and self._would_wait_too_long(waiting, now_s)
         ):
-            self._queue.remove(waiting)
-            decided.append(self._refuse(event, _Reason.QUEUE_TOO_LONG))
+            decided.extend(self._refuse_hopeless(waiting, now_s))
         return decided
 
+    def _refuse_hopeless(self, arrived, now_s):
+        """Refuse requests that would wait too long behind an arrived one.
+
+        These are the arrived one itself and, if all targets are rate limited,
+        the less urgent ones that it has moved back in the queue.
+        """
+        position = self._queue.index(arrived)
+        affected = [arrived]
+        if self._supply(arrived.arrival, now_s).is_rate_limited:
+            affected = self._queue[position:]
+        refused = []
+        for waiting in affected:
+            if self._would_wait_too_long(waiting, now_s):
+                refused.append(
+                    self._refuse_waiting(
+                        waiting, _Reason.QUEUE_TOO_LONG, now_s
+                    )
+                )
+                self._queue.remove(waiting)
+        return refused
+
+    def _refuse_waiting(self, waiting, reason, now_s):
+        """Refuse a queued request.
+
+        If all its targets are rate limited, it is retried when its turn is
+        expected.
+        """
+        arrival = waiting.arrival
+        supply = self._supply(arrival, now_s)
+        if not supply.is_rate_limited:
+            return self._refuse(arrival, reason)
+        position = self._queue.index(waiting) + 1
+        return decisions.Refuse(
+            request_id=arrival.request_id,
+            reason=_Reason.RATE_LIMITED,
+            retry_after_s=position / supply.rate_per_s
+            + self._random_fraction() * conf.RATE_RETRY_SPREAD_S,
+        )
+
+    def _supply(self, arrival, now_s):
+        return self._pool.supply(
+            now_s=now_s,
+            regions=arrival.regions,
+            withheld_releases=arrival.withheld_releases,
+        )
+
     @_apply.register
     def _(self, event: events.MoveRequested, now_s):
         self._insert(
@@ -218,7 +276,11 @@
         for waiting in self._queue:
             arrival = waiting.arrival
             if now_s >= arrival.wait_until_s:
-                decided.append(self._refuse(arrival, _Reason.WAITED_TOO_LONG))
+                decided.append(
+                    self._refuse_waiting(
+                        waiting, _Reason.WAITED_TOO_LONG, now_s
+                    )
+                )
                 continue
             target = self._find_target(waiting, now_s, may_wait=True)
             if target is None and self._is_paused_beyond_wait(arrival, now_s):
@@ -272,13 +334,18 @@
         """Return whether a request is expected to wait too long.
 
         The estimate assumes that each of this entry's requests in flight
-        completes within the mean service time.
+        completes within the mean service time. Those at targets with a rate
+        limit make no room, since other requests may use that limit.
         """
-        if self._mean_service_time_s is None:
-            return False
+        supply = self._supply(waiting.arrival, now_s)
+        requests_per_s = supply.rate_per_s
+        if not supply.is_rate_limited:
+            if self._mean_service_time_s is None:
+                return False
+            in_flight = max(supply.unlimited_in_flight, 1)
+            requests_per_s += in_flight / self._mean_service_time_s
         position = self._queue.index(waiting) + 1
-        in_flight = max(sum(self._pool.own_in_flight().values()), 1)
-        expected_wait_s = position * self._mean_service_time_s / in_flight
+        expected_wait_s = position / requests_per_s
         return now_s + expected_wait_s > waiting.arrival.wait_until_s
 
     def _record_service_time(self, service_time_s):
--- a/packages/savoryyoke/savoryyoke/placement/events.py
+++ b/packages/savoryyoke/savoryyoke/placement/events.py
@@ -4,6 +4,7 @@
 
 from savoryyoke.placement import models
 from savoryyoke.placement import notices
+from savoryyoke.placement import rate_limits
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -147,6 +148,18 @@
     asked_s: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RateLimitsReported:
+    """Report what another entry knows about rate limits.
+
+    ``peer_incarnation`` changes with each start of that entry.
+    """
+
+    peer_id: str
+    peer_incarnation: int
+    reports: tuple[rate_limits.RateReport, ...]
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class LeavingHintsReceived:
     """Report the leaving targets that another entry has listed."""
--- a/packages/savoryyoke/savoryyoke/placement/models.py
+++ b/packages/savoryyoke/savoryyoke/placement/models.py
@@ -56,3 +56,4 @@
     WAITED_TOO_LONG = 'waited-too-long'
     NO_OTHER_TARGET = 'no-other-target'
     ALL_PAUSED = 'all-paused'
+    RATE_LIMITED = 'rate-limited'
--- a/packages/savoryyoke/savoryyoke/placement/pool.py
+++ b/packages/savoryyoke/savoryyoke/placement/pool.py
@@ -1,6 +1,7 @@
 """Track the targets of a service and choose one for each request."""
 
 import collections
+import dataclasses
 import heapq
 import math
 
@@ -47,6 +48,21 @@
         return self._may_send_one and not self._sent_times_s
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Supply:
+    """Describe how fast targets can take requests of this entry.
+
+    ``rate_per_s`` is the rate at which usable targets with a rate limit take
+    them, ``unlimited_in_flight`` the number of this entry's requests in flight
+    at targets without one. ``is_rate_limited`` is true if there are usable
+    targets and all of them have a rate limit.
+    """
+
+    rate_per_s: float
+    unlimited_in_flight: int
+    is_rate_limited: bool
+
+
 class _TargetState:
     """Hold this entry's state of one incarnation of a target."""
 
@@ -80,7 +96,9 @@
         self._unseen = unseen.UnseenPlacements()
         self._claim_limit = unseen.ClaimLimit(random_fraction=random_fraction)
         self.notices = notices.TargetNotices()
-        self.rate_limits = rate_limits.RateLimits()
+        self.rate_limits = rate_limits.RateLimits(
+            random_fraction=random_fraction
+        )
 
     def set_cold_rate(self, rate_per_s):
         """Set this entry's share of the cold limit, per second and target.
@@ -112,14 +130,18 @@
 
     def set_peer_requests(self, peer_id, requests_by_target_id, *, now_s):
         """Set the number of requests that a peer has in flight."""
-        self.remove_peer(peer_id)
+        self._remove_peer_requests(peer_id)
         self._unseen.record_report(peer_id, now_s=now_s)
         self._requests_by_target_by_peer[peer_id] = requests_by_target_id
         self._peer_requests_by_target.update(requests_by_target_id)
 
     def remove_peer(self, peer_id):
-        """Remove the requests that a peer had in flight."""
+        """Remove what a peer that is no longer heard has reported."""
         self._unseen.remove_peer(peer_id)
+        self.rate_limits.remove_peer(peer_id)
+        self._remove_peer_requests(peer_id)
+
+    def _remove_peer_requests(self, peer_id):
         reported = self._requests_by_target_by_peer.pop(peer_id, {})
         for target_id, requests in reported.items():
             remaining = self._peer_requests_by_target[target_id] - requests
@@ -155,6 +177,7 @@
         state.own_in_flight += 1
         state.freed_s = -math.inf
         state.cold_rate.record_sent(now_s)
+        self.rate_limits.record_sent(state.target, now_s=now_s)
         self._unseen.record_placement(now_s=now_s)
 
     def record_try_end(self, event, *, now_s):
@@ -210,6 +233,47 @@
             return None
         return min(ends_s)
 
+    def find_targets(self, keys):
+        """Return the targets of those keys of incarnations that are listed."""
+        targets = []
+        for target_id, incarnation in keys:
+            state = self._states_by_id.get(target_id)
+            if state is not None and state.target.incarnation == incarnation:
+                targets.append(state.target)
+        return targets
+
+    def add_rate_reports(self, reports, *, peer_id, peer_incarnation, now_s):
+        """Add a peer's ``RateReport`` objects that concern these targets."""
+        self.rate_limits.add_reports(
+            [report for report in reports if self.find_targets([report.key])],
+            peer_id=peer_id,
+            peer_incarnation=peer_incarnation,
+            now_s=now_s,
+        )
+
+    def supply(
+        self, *, now_s, regions=frozenset(), withheld_releases=frozenset()
+    ):
+        """Return the ``Supply`` of the usable targets."""
+        rate_per_s = 0.0
+        unlimited_in_flight = 0
+        usable_count = limited_count = 0
+        for state in self._all_states():
+            is_usable = self._is_usable(state, regions, withheld_releases)
+            usable_count += is_usable
+            if self.rate_limits.limit_per_s(state.target) is None:
+                unlimited_in_flight += state.own_in_flight
+            elif is_usable:
+                limited_count += 1
+                rate_per_s += self.rate_limits.supply_per_s(
+                    state.target, now_s=now_s
+                )
+        return Supply(
+            rate_per_s=rate_per_s,
+            unlimited_in_flight=unlimited_in_flight,
+            is_rate_limited=0 < usable_count == limited_count,
+        )
+
     def choose(
         self,
         *,
@@ -308,7 +372,9 @@
         if self._is_engine and self._slows_group_down(state):
             return False
         target = state.target
-        return self.in_flight(target.target_id) < self._limit(target)
+        if self.in_flight(target.target_id) >= self._limit(target):
+            return False
+        return self.rate_limits.allows_request(target, now_s=now_s)
 
     def _slows_group_down(self, state):
         """Return whether a rank is slow while most of its group is not."""
--- a/packages/savoryyoke/tests/placement/test_rate_limits.py
+++ b/packages/savoryyoke/tests/placement/test_rate_limits.py
@@ -1,5 +1,6 @@
 """Test how rate limits of targets are tracked."""
 
+import random
 import unittest
 
 from savoryyoke.placement import models
@@ -23,7 +24,9 @@
 
 class StatementTests(unittest.TestCase):
     def setUp(self):
-        self.limits = rate_limits.RateLimits()
+        self.limits = rate_limits.RateLimits(
+            random_fraction=random.Random(1).random
+        )
         self.target = build_target()
 
     def answer(self, limit_per_s, *, asked_s, now_s):
