--- a/packages/savoryyoke-edge/savoryyoke_edge/platform.py
+++ b/packages/savoryyoke-edge/savoryyoke_edge/platform.py
@@ -116,7 +116,7 @@
             )
         try:
             return json.loads(body)
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             raise exceptions.PlatformUnavailable(
                 'the answer is not JSON'
             ) from error
--- a/packages/savoryyoke-entry/savoryyoke_entry/offers.py
+++ b/packages/savoryyoke-entry/savoryyoke_entry/offers.py
@@ -53,5 +53,11 @@
         if 'text' in choice:
             return str(choice['text'])
         return str(choice['delta'].get('content') or '')
-    except (KeyError, IndexError, TypeError, ValueError):
+    except (
+        KeyError,
+        IndexError,
+        RecursionError,
+        TypeError,
+        ValueError,
+    ):
         return ''
