Answer the requests that are unfinished at the end of a planned stop

A grace time below 3.6 s passed before the entry looked at it.

Cause: the shutdown ended requests only by ending the process. Now it ends them as a deadline does, 0.6 s before the end of the grace time, so that the request's ledger decides: 503 for what has not run, 504 for what may have run, a broken-off stream for the rest. The grace time is read in each step, so one that SIGHUP changes holds.

--- a/packages/savoryyoke-gateway/savoryyoke_gateway/application.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/application.py
@@ -46,7 +46,12 @@
             self.in_flight -= 1
 
     async def _serve(self, request, receive, channel, arrived_s):
-        body = await self._read_body(receive)
+        body = None
+        with anyio.CancelScope() as scope, self._stopping.cancel_at_end(scope):
+            body = await self._read_body(receive)
+        if scope.cancelled_caught:
+            await self._forwarder.refuse(request, channel, reason='stopping')
+            return
         if body is None:
             logs.write_event('caller_left', request=request.request_id)
             return
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/conf.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/conf.py
@@ -109,3 +109,5 @@
 
 # Part of the grace time that is reserved for ending the process.
 STOP_MARGIN_S = 0.6
+# Interval at which a shutdown checks the time and the requests in flight.
+STOP_CHECK_INTERVAL_S = 0.05
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/daemon.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/daemon.py
@@ -121,6 +121,7 @@
                 metrics=self._metrics,
                 crashes=self._crashes,
                 suspects=self._suspects,
+                stopping=self._stopping,
                 random_fraction=random_fraction,
                 clock=clock,
             ),
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/forwarder.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/forwarder.py
@@ -47,9 +47,11 @@
         metrics,
         crashes,
         suspects,
+        stopping,
         random_fraction,
         clock,
     ):
+        self._stopping = stopping
         self._published_state = published_state
         self._dispatching = dispatching
         self._allowances = allowances
@@ -173,10 +175,14 @@
 
     async def _serve_until_deadline(self, call):
         limit_s = call.deadline_s + conf.DEADLINE_GRACE_S - self._clock()
-        with anyio.move_on_after(max(limit_s, 0)) as scope:
+        with (
+            anyio.move_on_after(max(limit_s, 0)) as scope,
+            self._stopping.cancel_at_end(scope),
+        ):
             decision = await self._forward(call)
         if scope.cancelled_caught:
-            decision = call.ledger.apply(events.TimeRanOut())
+            reason = 'stopping' if self._stopping.has_ended else 'timeout'
+            decision = call.ledger.apply(events.TimeRanOut(reason=reason))
         await self._answer_caller(call, decision)
 
     async def _forward(self, call):
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/stopping.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/stopping.py
@@ -1,5 +1,7 @@
 """Shut down without interrupting requests."""
 
+import contextlib
+
 import anyio
 
 from savoryyoke_edge import logs
@@ -11,8 +13,9 @@
 
     At first, requests are still served while the directory no longer lists
     this entry. Once callers' cached answers of the directory have expired,
-    new requests are refused. The process ends when no request is in flight
-    or ``STOP_MARGIN_S`` before the end of the grace time.
+    new requests are refused. The shutdown ends when no request is in flight
+    or ``STOP_MARGIN_S`` before the end of the grace time. Requests that are
+    still in flight then get their final answers before the process ends.
 
     ``grace_s`` is the time in seconds between the signal to stop and the
     kill.
@@ -23,7 +26,9 @@
         self._clock = clock
         self._start_s = None
         self._started = anyio.Event()
+        self._unfinished_scopes = set()
         self.refuses_requests = False
+        self.has_ended = False
 
     @property
     def has_begun(self):
@@ -49,13 +54,42 @@
         await self._started.wait()
         logs.write_event('stop_begun', in_flight=count_in_flight())
         await announce()
-        await anyio.sleep(conf.DIRECTORY_TTL_S * conf.DIRECTORY_CACHE_TTLS)
+        refused_from_s = (
+            self._start_s + conf.DIRECTORY_TTL_S * conf.DIRECTORY_CACHE_TTLS
+        )
+        while self._clock() < min(refused_from_s, self._deadline_s):
+            await anyio.sleep(conf.STOP_CHECK_INTERVAL_S)
         self.refuses_requests = True
-        deadline_s = self._start_s + self._grace_s - conf.STOP_MARGIN_S
-        while count_in_flight() and self._clock() < deadline_s:
-            await anyio.sleep(0.05)
+        while count_in_flight() and self._clock() < self._deadline_s:
+            await anyio.sleep(conf.STOP_CHECK_INTERVAL_S)
+        unfinished_count = count_in_flight()
+        self._end_requests()
+        with anyio.move_on_after(conf.STOP_MARGIN_S / 2):
+            while count_in_flight():
+                await anyio.sleep(conf.STOP_CHECK_INTERVAL_S)
         logs.write_event(
             'stopped',
+            unfinished=unfinished_count,
             in_flight=count_in_flight(),
             after_s=self._clock() - self._start_s,
         )
+
+    @property
+    def _deadline_s(self):
+        return self._start_s + self._grace_s - conf.STOP_MARGIN_S
+
+    @contextlib.contextmanager
+    def cancel_at_end(self, scope):
+        """Cancel a scope when the shutdown ends; at once if it has ended."""
+        if self.has_ended:
+            scope.cancel()
+        self._unfinished_scopes.add(scope)
+        try:
+            yield
+        finally:
+            self._unfinished_scopes.discard(scope)
+
+    def _end_requests(self):
+        self.has_ended = True
+        for scope in self._unfinished_scopes:
+            scope.cancel()
--- a/packages/savoryyoke/savoryyoke/forwarding/events.py
+++ b/packages/savoryyoke/savoryyoke/forwarding/events.py
@@ -73,4 +73,6 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class TimeRanOut:
-    """Report that the request's deadline or its route's timeout passed."""
+    """Report that the request must end now; ``reason`` states why."""
+
+    reason: str = 'timeout'
--- a/packages/savoryyoke/savoryyoke/forwarding/ledger.py
+++ b/packages/savoryyoke/savoryyoke/forwarding/ledger.py
@@ -134,10 +134,10 @@
     @apply.register
     def _(self, event: events.TimeRanOut):
         if self._is_streaming:
-            return decisions.AbortStream(reason='timeout')
+            return decisions.AbortStream(reason=event.reason)
         if self._may_have_run or self._open_try_count:
-            return decisions.Fail(reason='timeout', timed_out=True)
-        return decisions.Refuse(reason='timeout')
+            return decisions.Fail(reason=event.reason, timed_out=True)
+        return decisions.Refuse(reason=event.reason)
 
     def _try_another(self, reason):
         if self._sent_count >= self._attempts_limit:
