Report requests without an id that the soak's targets run

The callers of the soak send an id with each request, so it came from elsewhere, perhaps from another suite's client at a port that was used again; the record doesn't show which. Targets now print such requests whole, and they break a promise of their own ("unasked"), so that the next one can be traced.

--- a/packages/savoryyoke-soak/savoryyoke_soak/backend.py
+++ b/packages/savoryyoke-soak/savoryyoke_soak/backend.py
@@ -30,8 +30,11 @@
 
     def append(self, run):
         """Print one run; exit the process if the request is fatal."""
-        request_id = run.request.headers.get('x-request-id', '')
-        print(f'run {request_id} {time.monotonic():.6f}', flush=True)
+        request_id = run.request.headers.get('x-request-id')
+        if request_id:
+            print(f'run {request_id} {time.monotonic():.6f}', flush=True)
+        else:
+            print(f'unidentified {run.request!r}', flush=True)
         if run.request.body.startswith(conf.FATAL_BODY):
             os._exit(1)
 
--- a/packages/savoryyoke-soak/savoryyoke_soak/fleet.py
+++ b/packages/savoryyoke-soak/savoryyoke_soak/fleet.py
@@ -214,7 +214,9 @@
 
         def handle_line(line):
             word, *fields = line.split()
-            if word == 'address':
+            if word == 'unidentified':
+                self._history.unidentified.append(line)
+            elif word == 'address':
                 upstream.append((fields[0], int(fields[1])))
                 has_address.set()
             elif word == 'run':
--- a/packages/savoryyoke-soak/savoryyoke_soak/promises.py
+++ b/packages/savoryyoke-soak/savoryyoke_soak/promises.py
@@ -339,7 +339,14 @@
     return collections.Counter(run.request_id for run in history.runs)
 
 
+def _check_unasked(history):
+    """Check that targets run only requests of callers, which have ids."""
+    for text in history.unidentified:
+        yield Breach(promise='unasked', evidence=text)
+
+
 _CHECKS = (
+    _check_unasked,
     _check_once,
     _check_not_run,
     _check_whole,
--- a/packages/savoryyoke-soak/savoryyoke_soak/records.py
+++ b/packages/savoryyoke-soak/savoryyoke_soak/records.py
@@ -114,11 +114,13 @@
 class History:
     """Hold all observations of one run of the soak.
 
-    Times are seconds of the monotonic clock.
+    Times are seconds of the monotonic clock. ``unidentified`` holds the texts
+    of requests that targets ran and that have no id.
     """
 
     calls: list[Call] = dataclasses.field(default_factory=list)
     runs: list[Run] = dataclasses.field(default_factory=list)
+    unidentified: list[str] = dataclasses.field(default_factory=list)
     refusals: list[Refusal] = dataclasses.field(default_factory=list)
     probes: list[Probe] = dataclasses.field(default_factory=list)
     troubles: list[Trouble] = dataclasses.field(default_factory=list)
--- a/packages/savoryyoke-soak/tests/test_promises.py
+++ b/packages/savoryyoke-soak/tests/test_promises.py
@@ -228,6 +228,10 @@
         self.add_fatal(*crashes_s, *[late_s + 1.0] * 4, shares_part=True)
         self.assert_broken('crashing')
 
+    def test_request_that_no_caller_sent(self):
+        self.history.unidentified.append('unidentified request')
+        self.assert_broken('unasked')
+
     def test_entry_that_does_not_end_or_ends_badly(self):
         for status in (None, 1):
             self.history.stops.append(
