--- a/packages/savoryyoke/savoryyoke/placement/notices.py
+++ b/packages/savoryyoke/savoryyoke/placement/notices.py
@@ -39,7 +39,7 @@
         """Record that a target leaves; return whether that is new."""
         if self.is_leaving(target):
             return False
-        put_newest(self._announced_s_by_key, build_key(target), now_s)
+        _put_newest(self._announced_s_by_key, build_key(target), now_s)
         return True
 
     def record_hints(self, hints, *, now_s):
@@ -51,7 +51,7 @@
                 announced_s,
                 self._hint_announced_s_by_key.get(key, announced_s),
             )
-            put_newest(self._hint_announced_s_by_key, key, announced_s)
+            _put_newest(self._hint_announced_s_by_key, key, announced_s)
 
     def record_pause(self, target, *, pause_s, now_s):
         """Record a requested pause; return the time at which it ends.
@@ -127,7 +127,7 @@
     return (target.target_id, target.incarnation)
 
 
-def put_newest(values_by_key, key, value):
+def _put_newest(values_by_key, key, value):
     """Store a value; drop the oldest ones beyond ``NOTICES_LIMIT``."""
     values_by_key[key] = value
     values_by_key.move_to_end(key)
--- a/packages/savoryyoke/tests/placement/test_rate_limited_fleet.py
+++ b/packages/savoryyoke/tests/placement/test_rate_limited_fleet.py
@@ -369,8 +369,9 @@
 
     def test_two_halves_that_do_not_hear_each_other(self):
         self.check(
-            (1.0,) * 12,
+            (6.0,) * 4,
             requests_per_s=60.0,
+            slots=40,
             silences=((5.0, 11.0, frozenset(range(4))),),
         )
 
