--- a/packages/savoryyoke/savoryyoke/placement/rate_limits.py
+++ b/packages/savoryyoke/savoryyoke/placement/rate_limits.py
@@ -93,13 +93,18 @@
         return self.rate_per_s * conf.RATE_BURST_S + conf.RATE_BURST_REQUESTS
 
     def state(self, limit_per_s, *, heard_s, now_s):
-        """Record what the target states from now on."""
-        if self.limit_per_s is None:
-            self.level = math.inf
-            self._updated_s = now_s
+        """Record what the target states from now on.
+
+        A bucket that becomes smaller is at most full.
+        """
+        previous_per_s = self.limit_per_s
         self.limit_per_s = limit_per_s
         self.heard_s = heard_s
-        self.level = min(self.level, self.capacity)
+        if previous_per_s is None:
+            self.level = self.capacity
+            self._updated_s = now_s
+        elif self.rate_per_s < previous_per_s:
+            self.level = min(self.level, self.capacity)
 
     def record_sent(self):
         """Record a request of this entry."""
--- a/packages/savoryyoke/tests/placement/test_rate_limits.py
+++ b/packages/savoryyoke/tests/placement/test_rate_limits.py
@@ -70,3 +70,43 @@
     def test_next_incarnation_has_no_limit(self):
         self.answer(2.0, asked_s=0.0, now_s=1.0)
         self.assertIsNone(self.limits.limit_per_s(build_target(incarnation=2)))
+
+
+class BucketTests(unittest.TestCase):
+    def setUp(self):
+        self.limits = rate_limits.RateLimits(
+            random_fraction=random.Random(1).random
+        )
+        self.target = build_target()
+
+    def state(self, limit_per_s, *, now_s):
+        self.limits.record_answer(
+            self.target, limit_per_s=limit_per_s, asked_s=now_s, now_s=now_s
+        )
+
+    def allows(self, *, now_s):
+        return self.limits.allows_request(self.target, priority=0, now_s=now_s)
+
+    def send(self, count, *, now_s):
+        for _ in range(count):
+            self.limits.record_sent(self.target, now_s=now_s)
+
+    def test_requests_beyond_the_capacity_count_after_a_repeated_statement(
+        self,
+    ):
+        self.state(1.0, now_s=0.0)
+        self.send(6, now_s=0.0)
+        self.state(1.0, now_s=0.1)
+        self.assertFalse(self.allows(now_s=6.5))
+        self.assertTrue(self.allows(now_s=7.1))
+
+    def test_lower_limit_has_a_full_bucket_at_most(self):
+        self.state(40.0, now_s=0.0)
+        self.state(1.0, now_s=0.1)
+        self.assertFalse(self.allows(now_s=0.2))
+        self.assertTrue(self.allows(now_s=1.2))
+
+    def test_limit_of_zero_allows_a_request_after_half_a_minute(self):
+        self.state(0.0, now_s=0.0)
+        self.assertFalse(self.allows(now_s=20.0))
+        self.assertTrue(self.allows(now_s=31.0))
