--- a/packages/savoryyoke/tests/placement/test_herding.py
+++ b/packages/savoryyoke/tests/placement/test_herding.py
@@ -6,12 +6,11 @@
 import random
 import unittest
 
-from savoryyoke.placement import conf
 from savoryyoke.placement import decisions
-from savoryyoke.placement import dispatcher
 from savoryyoke.placement import events
 from savoryyoke.placement import models
-from savoryyoke.placement import pool
+
+from tests.placement import fleet_entries
 
 ENTRIES = 44
 TARGETS = 63
@@ -51,32 +50,11 @@
         self._arrived = self._served = self._delayed = self._highest = 0
 
     def _build_entry(self):
-        entry = dispatcher.Dispatcher(
-            pool=pool.TargetPool(
-                policy=conf.PlacementPolicy(),
-                is_engine=True,
-                own_data_centre='dc-a',
-                random_fraction=self._random.random,
-            ),
+        return fleet_entries.build_entry(
+            target_count=TARGETS,
+            slots=SLOTS,
             random_fraction=self._random.random,
         )
-        targets = tuple(
-            models.Target(
-                target_id=str(number),
-                incarnation=1,
-                service_name='s',
-                host=f'10.0.1.{number}',
-                port=80,
-                data_centre='dc-a',
-                region='r',
-                slots=SLOTS,
-                is_draining=False,
-                is_in_service=True,
-            )
-            for number in range(TARGETS)
-        )
-        entry.apply(events.TargetsChanged(targets=targets), now_s=0.0)
-        return entry
 
     def play(self):
         """Return the ``Load`` of all requests after a first second."""
--- a/packages/savoryyoke/tests/placement/test_rate_limited_fleet.py
+++ b/packages/savoryyoke/tests/placement/test_rate_limited_fleet.py
@@ -7,12 +7,11 @@
 import random
 import unittest
 
-from savoryyoke.placement import conf
 from savoryyoke.placement import decisions
-from savoryyoke.placement import dispatcher
 from savoryyoke.placement import events
 from savoryyoke.placement import models
-from savoryyoke.placement import pool
+
+from tests.placement import fleet_entries
 
 # The users' requirement, see the platform's ``test_rate_limits``.
 LEARNING_S = 3.0
@@ -78,32 +77,11 @@
         self.refusals = []
 
     def _build_entry(self):
-        entry = dispatcher.Dispatcher(
-            pool=pool.TargetPool(
-                policy=conf.PlacementPolicy(),
-                is_engine=True,
-                own_data_centre='dc-a',
-                random_fraction=self._random.random,
-            ),
+        return fleet_entries.build_entry(
+            target_count=len(self._limits),
+            slots=self._play.slots,
             random_fraction=self._random.random,
         )
-        targets = tuple(
-            models.Target(
-                target_id=str(number),
-                incarnation=1,
-                service_name='s',
-                host=f'10.0.1.{number}',
-                port=80,
-                data_centre='dc-a',
-                region='r',
-                slots=self._play.slots,
-                is_draining=False,
-                is_in_service=True,
-            )
-            for number in range(len(self._limits))
-        )
-        entry.apply(events.TargetsChanged(targets=targets), now_s=0.0)
-        return entry
 
     def run(self):
         """Play the load."""
