Skip heartbeats without reports on rate limits

Every heartbeat of a peer built an event and passed it through all dispatchers, also without a report, which is the usual case; the event changed nothing then. The tests of rate limits use the target that the dispatcher's tests build, in place of a copy.

No behaviour changes. Run: lint, the gateway's tests, placement test_rate_limits, two of the platform's tests with real entries (limits of all replicas, entries that start later).

--- a/packages/savoryyoke-gateway/savoryyoke_gateway/dispatching.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/dispatching.py
@@ -229,6 +229,8 @@
 
     def add_rate_reports(self, reports, *, peer_id, peer_incarnation):
         """Apply a peer's reports on rate limits."""
+        if not reports:
+            return
         event = events.RateLimitsReported(
             peer_id=peer_id, peer_incarnation=peer_incarnation, reports=reports
         )
--- a/packages/savoryyoke/tests/placement/test_rate_limits.py
+++ b/packages/savoryyoke/tests/placement/test_rate_limits.py
@@ -3,23 +3,12 @@
 import random
 import unittest
 
-from savoryyoke.placement import models
 from savoryyoke.placement import rate_limits
 
+from tests.placement import test_dispatcher
 
-def build_target(*, target_id='a', incarnation=1):
-    return models.Target(
-        target_id=target_id,
-        incarnation=incarnation,
-        service_name='s',
-        host='10.0.0.1',
-        port=80,
-        data_centre='dc-a',
-        region='r',
-        slots=4,
-        is_draining=False,
-        is_in_service=True,
-    )
+
+build_target = test_dispatcher.build_target
 
 
 class StatementTests(unittest.TestCase):
@@ -27,7 +16,7 @@
         self.limits = rate_limits.RateLimits(
             random_fraction=random.Random(1).random
         )
-        self.target = build_target()
+        self.target = build_target(1)
 
     def answer(self, limit_per_s, *, asked_s, now_s):
         self.limits.record_answer(
@@ -69,7 +58,9 @@
 
     def test_next_incarnation_has_no_limit(self):
         self.answer(2.0, asked_s=0.0, now_s=1.0)
-        self.assertIsNone(self.limits.limit_per_s(build_target(incarnation=2)))
+        self.assertIsNone(
+            self.limits.limit_per_s(build_target(1, incarnation=2))
+        )
 
 
 class BucketTests(unittest.TestCase):
@@ -77,7 +68,7 @@
         self.limits = rate_limits.RateLimits(
             random_fraction=random.Random(1).random
         )
-        self.target = build_target()
+        self.target = build_target(1)
 
     def state(self, limit_per_s, *, now_s):
         self.limits.record_answer(
