Check the targets in contact before a directory answer says cut off

Callers of an entry that had just connected to its targets were told for up to 0.5 s that it had lost contact ("cut-off", reason no_targets), and so were callers of one that had been cut off.

Cause: the directory learns how many targets are in contact every 0.5 s, while links come up at once and the status says "ready" and how many targets are connected.

Evidence: 20 starts of the fleet of these tests beside six to eight busy processes: two entries that were ready with five connected targets answered "cut-off, no_targets"; in the log, contact_changed cut_off=no_targets comes 8 ms before link_up of the first target, and the answers were right 0.2 s later.

Ruled out: a pause of the process (reason paused) and entries that haven't heard each other (isolated): the reason in the answers seen was no_targets.

An answer that would say cut off counts the targets anew now.

--- a/packages/savoryyoke-entry/savoryyoke_entry/directories.py
+++ b/packages/savoryyoke-entry/savoryyoke_entry/directories.py
@@ -76,10 +76,11 @@
     async def run(self, membership):
         """Update the directory from ``membership`` until cancelled."""
         while True:
-            self._apply_membership(membership)
+            self.apply_membership(membership)
             await anyio.sleep(conf.DIRECTORY_PERIOD_S)
 
-    def _apply_membership(self, membership):
+    def apply_membership(self, membership):
+        """Apply the states of all entries and the contacts with targets."""
         members = {item.vm_id: item for item in membership.members()}
         members[self._entry_id] = membership.record
         for entry_id, vm in self._vms_by_entry_id.items():
@@ -89,6 +90,12 @@
             self._record_message(
                 vm, member, is_trusted=not membership.is_suspect
             )
+        self._report_target_contacts()
+        for change in self._feed(events.Ticked()):
+            reason = change.reason.value if change.reason else 'none'
+            logs.write_event('contact_changed', cut_off=reason)
+
+    def _report_target_contacts(self):
         self._feed(
             events.TargetContactsReported(
                 in_contact_count=self._fleet.count_targets_in_contact(
@@ -97,9 +104,6 @@
                 expected_count=self._fleet.expected_target_count,
             )
         )
-        for change in self._feed(events.Ticked()):
-            reason = change.reason.value if change.reason else 'none'
-            logs.write_event('contact_changed', cut_off=reason)
 
     def _record_message(self, vm, member, *, is_trusted):
         """Apply the membership state of an entry to the directory.
@@ -151,9 +155,12 @@
         ``may_serve(entry_id)`` returns whether an entry admits the caller's
         team, and ``bindings`` maps service names to the text of a binding.
         """
-        answer = self._directory.answer(
-            _read_caller(scope, team), self._clock()
-        )
+        caller = _read_caller(scope, team)
+        answer = self._directory.answer(caller, self._clock())
+        if isinstance(answer, decisions.CutOff):
+            # Links may have come up since the last report.
+            self._report_target_contacts()
+            answer = self._directory.answer(caller, self._clock())
         if isinstance(answer, decisions.CutOff):
             return _build_cut_off(answer)
         entries = [
