Let the soak's targets state rate limits

A target of the soak now states a limit of 2 requests a second for about ten seconds ("limited-target", in place of every other "busy-target", so that the runs of older seeds keep all other faults), and the promise "limited" checks the users' bound: in no 4 s more than 1.5 times the limit and five requests, later than 3 s (and the soak's 2 s for a busy machine) after the first statement. Requests of entries that were started or had trouble shortly before are left out, as the users excuse restarts, freezes and cuts.

Two limited targets while entries are frozen, killed and stopped: no finding (seed 1).

--- a/packages/savoryyoke-soak/savoryyoke_soak/conf.py
+++ b/packages/savoryyoke-soak/savoryyoke_soak/conf.py
@@ -55,6 +55,16 @@
 PAUSE_GRACE_S = 0.5
 ARRIVALS_IN_PAUSE = 2
 
+# A limited target states for ``LIMITED_FOR_S`` and the duration of the fault
+# that it takes ``RATE_LIMIT_PER_S`` from all entries together. The users allow
+# 1.5 times the limit and five requests in any 4 s, from 3 s after the first
+# statement on.
+RATE_LIMIT_PER_S = 2.0
+LIMITED_FOR_S = 9.0
+RATE_LIMIT_LEARNING_S = 3.0
+RATE_LIMIT_WINDOW_S = 4.0
+ARRIVALS_IN_WINDOW = 1.5 * RATE_LIMIT_PER_S * RATE_LIMIT_WINDOW_S + 5
+
 # An entry that is asked to stop finishes its requests within ``GRACE_S``.
 GRACE_S = 8.0
 STOP_TIMEOUT_S = GRACE_S + 3.0
--- a/packages/savoryyoke-soak/savoryyoke_soak/faults.py
+++ b/packages/savoryyoke-soak/savoryyoke_soak/faults.py
@@ -23,8 +23,12 @@
     'endless-target',
 )
 REQUEST_FAULTS = ('fatal-request',)
-# Replaces every other fatal request.
-PROMPTS_FAULT = 'fatal-prompts'
+# Kinds that replace every other fault of an older kind, so that runs of seeds
+# that found a fault keep all other faults.
+REPLACEMENTS_BY_KIND = {
+    'fatal-request': 'fatal-prompts',
+    'busy-target': 'limited-target',
+}
 LINK_FAULTS = ('delay', 'reset', 'cut-to', 'cut-from', 'silence')
 # Link faults are listed twice so that they are twice as likely.
 _WEIGHTED_KINDS = (
@@ -67,8 +71,8 @@
         if kind in STORE_FAULTS:
             candidates = entries
         index = random_source.randrange(candidates)
-        if kind in REQUEST_FAULTS and index % 2:
-            kind = PROMPTS_FAULT
+        if index % 2:
+            kind = REPLACEMENTS_BY_KIND.get(kind, kind)
         faults.append(
             Fault(
                 kind=kind,
--- a/packages/savoryyoke-soak/savoryyoke_soak/fleet.py
+++ b/packages/savoryyoke-soak/savoryyoke_soak/fleet.py
@@ -227,6 +227,13 @@
                 self._record(
                     records.Refusal, self._history.refusals, fields, target_id
                 )
+            elif word == 'limited':
+                self._record(
+                    records.LimitedArrival,
+                    self._history.limited_arrivals,
+                    fields,
+                    target_id,
+                )
 
         target.child = children.Child(
             arguments=['-m', 'savoryyoke_soak.backend', target_id],
--- a/packages/savoryyoke-soak/savoryyoke_soak/mutants.py
+++ b/packages/savoryyoke-soak/savoryyoke_soak/mutants.py
@@ -10,6 +10,7 @@
 from savoryyoke.forwarding import framing
 from savoryyoke.forwarding import ledger
 from savoryyoke.placement import notices
+from savoryyoke.placement import rate_limits
 from savoryyoke.published import models
 from savoryyoke_gateway import callers
 from savoryyoke_gateway import copying
@@ -116,6 +117,11 @@
     notices.TargetNotices.in_flight_limit = lambda self, target, now_s: None
 
 
+def _ignore_rate_limits():
+    """Send as many requests to a limited target as to any other."""
+    rate_limits.RateLimits.allows_request = lambda self, target, **state: True
+
+
 def _delay_answers():
     """Delay some requests for longer than any caller waits."""
     original_serve = forwarder.Forwarder.serve
@@ -153,6 +159,7 @@
     'announced': _ignore_notices,
     'paused': _ignore_pauses,
     'crashing': _send_fatal_requests,
+    'limited': _ignore_rate_limits,
     'stop': _fail_on_stop,
 }
 
--- a/packages/savoryyoke-soak/savoryyoke_soak/promises.py
+++ b/packages/savoryyoke-soak/savoryyoke_soak/promises.py
@@ -305,7 +305,7 @@
             call
             for at_s, call in arrivals
             if at_s > crashed_s + conf.CRASH_DETECTION_S
-            and not _may_lack_crash_reports(history, call)
+            and not _may_lack_reports(history, call)
         ]
         if len(late_calls) > conf.ARRIVALS_AFTER_LIMIT:
             yield Breach(
@@ -314,14 +314,46 @@
             )
 
 
-def _may_lack_crash_reports(history, call):
-    """Return whether an entry may not have received the crash reports."""
+def _may_lack_reports(history, call):
+    """Return whether an entry may lack recent reports of other entries."""
     from_s = call.sent_s - conf.CRASH_DETECTION_S - conf.MACHINE_DELAY_S
     if history.started_s_by_incarnation.get(call.incarnation, 0.0) > from_s:
         return True
     return _has_trouble(history, call.incarnation, from_s, call.ended_s)
 
 
+def _check_limited(history):
+    """Check that all entries together keep the rate limits of targets."""
+    calls_by_id = {call.request_id: call for call in history.calls}
+    arrived_s_by_target = collections.defaultdict(list)
+    for arrival in history.limited_arrivals:
+        call = calls_by_id.get(arrival.request_id)
+        learned_s = (
+            history.limited_s_by_target[arrival.target_id]
+            + conf.RATE_LIMIT_LEARNING_S
+            + conf.MACHINE_DELAY_S
+        )
+        if (
+            call is not None
+            and arrival.at_s > learned_s
+            and not _may_lack_reports(history, call)
+        ):
+            arrived_s_by_target[arrival.target_id].append(arrival.at_s)
+    for target_id, arrived_s in arrived_s_by_target.items():
+        most = max(
+            sum(
+                0 <= at_s - start_s <= conf.RATE_LIMIT_WINDOW_S
+                for at_s in arrived_s
+            )
+            for start_s in arrived_s
+        )
+        if most > conf.ARRIVALS_IN_WINDOW:
+            yield Breach(
+                promise='limited',
+                evidence=f'{target_id} gets {most} requests in a window',
+            )
+
+
 def _is_excused_call(history, call):
     """Return whether an entry was unable to answer a call."""
     kinds = _DISABLING_KINDS
@@ -357,5 +389,6 @@
     _check_announced,
     _check_paused,
     _check_crashing,
+    _check_limited,
     _check_stop,
 )
--- a/packages/savoryyoke-soak/savoryyoke_soak/records.py
+++ b/packages/savoryyoke-soak/savoryyoke_soak/records.py
@@ -56,6 +56,15 @@
     at_s: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class LimitedArrival:
+    """Hold one request that arrived while its target stated a rate limit."""
+
+    request_id: str
+    target_id: str
+    at_s: float
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Probe:
     """Hold whether an entry had a configuration version in force."""
@@ -122,6 +131,9 @@
     runs: list[Run] = dataclasses.field(default_factory=list)
     unidentified: list[str] = dataclasses.field(default_factory=list)
     refusals: list[Refusal] = dataclasses.field(default_factory=list)
+    limited_arrivals: list[LimitedArrival] = dataclasses.field(
+        default_factory=list
+    )
     probes: list[Probe] = dataclasses.field(default_factory=list)
     troubles: list[Trouble] = dataclasses.field(default_factory=list)
     stops: list[Stop] = dataclasses.field(default_factory=list)
@@ -129,3 +141,4 @@
     started_s_by_incarnation: dict = dataclasses.field(default_factory=dict)
     written_s_by_version: dict = dataclasses.field(default_factory=dict)
     draining_s_by_target: dict = dataclasses.field(default_factory=dict)
+    limited_s_by_target: dict = dataclasses.field(default_factory=dict)
--- a/packages/savoryyoke-soak/savoryyoke_soak/runner.py
+++ b/packages/savoryyoke-soak/savoryyoke_soak/runner.py
@@ -405,6 +405,13 @@
         target.child.signal(signal.SIGUSR2)
         await anyio.sleep(conf.BUSY_FOR_S)
 
+    async def _limit_rate(self, target, fault):
+        limited_s_by_target = self._history.limited_s_by_target
+        limited_s_by_target[target.target_id] = time.monotonic()
+        target.child.signal(signal.SIGRTMIN)
+        await anyio.sleep(conf.LIMITED_FOR_S + fault.for_s)
+        target.child.signal(signal.SIGRTMIN)
+
     async def _send_endless_answers(self, target, fault):
         target.child.signal(signal.SIGHUP)
         await anyio.sleep(fault.for_s)
@@ -456,4 +463,5 @@
     'leaving-target': _target_fault(Soak._announce_leaving),
     'busy-target': _target_fault(Soak._request_pause),
     'endless-target': _target_fault(Soak._send_endless_answers),
+    'limited-target': _target_fault(Soak._limit_rate),
 } | dict.fromkeys(faults.LINK_FAULTS, Soak._disturb_link)
--- a/packages/savoryyoke-soak/tests/test_promises.py
+++ b/packages/savoryyoke-soak/tests/test_promises.py
@@ -298,3 +298,33 @@
         self.assert_broken('paused')
         self.add_trouble('killed', from_s=11.0, until_s=12.0)
         self.assert_broken()
+
+    def add_limited_arrivals(self, count, *, from_s):
+        """Let requests arrive at a limited target within a window."""
+        for number in range(count):
+            call = build_call(
+                request_id=f'limited-{from_s}-{number}',
+                sent_s=from_s,
+                ended_s=from_s + 2.0,
+                status=502,
+            )
+            self.history.calls.append(call)
+            self.history.limited_arrivals.append(
+                records.LimitedArrival(
+                    request_id=call.request_id,
+                    target_id='target-1',
+                    at_s=from_s + 0.1 * number,
+                )
+            )
+
+    def test_requests_beyond_a_rate_limit(self):
+        self.history.limited_s_by_target['target-1'] = 10.0
+        allowed = int(conf.ARRIVALS_IN_WINDOW)
+        self.add_limited_arrivals(allowed + 1, from_s=11.0)
+        self.add_limited_arrivals(allowed, from_s=20.0)
+        self.add_limited_arrivals(allowed, from_s=30.0)
+        self.assert_broken()
+        self.add_limited_arrivals(1, from_s=31.0)
+        self.assert_broken('limited')
+        self.add_trouble('frozen', from_s=29.0, until_s=30.5)
+        self.assert_broken()
--- a/packages/savoryyoke-soak/tests/test_soak.py
+++ b/packages/savoryyoke-soak/tests/test_soak.py
@@ -42,17 +42,21 @@
     ),
     # On a busy machine, replacing a crashed target takes one to two seconds.
     'crashing': (build_fault('fatal-request', for_s=12.0),),
+    'limited': (build_fault('limited-target', at_s=0.1),),
     'stop': (build_fault('stop'),),
 }
-# Two callers send requests that crash targets while entries are restarted.
-CRASHES_AND_RESTARTS = (
-    build_fault('fatal-request', at_s=0.5, for_s=4.0),
-    build_fault('fatal-request', at_s=0.6, for_s=4.0, index=1),
+ENTRY_FAULTS = (
     build_fault('freeze', index=2, at_s=2.0),
     build_fault('kill', index=0, at_s=4.0, for_s=0.3),
     build_fault('kill', index=1, at_s=4.0, for_s=0.3),
     build_fault('stop', index=3, at_s=5.0, for_s=0.3),
 )
+# Two callers send requests that crash targets while entries are restarted.
+CRASHES_AND_RESTARTS = (
+    build_fault('fatal-request', at_s=0.5, for_s=4.0),
+    build_fault('fatal-request', at_s=0.6, for_s=4.0, index=1),
+    *ENTRY_FAULTS,
+)
 # Seeds of runs that found a fault, with the fault.
 REGRESSIONS_BY_SEED = {
     1796387572: 'an answer with a seal but no request id counted as complete',
@@ -81,7 +85,7 @@
                 *faults.STORE_FAULTS,
                 *faults.TARGET_FAULTS,
                 *faults.REQUEST_FAULTS,
-                faults.PROMPTS_FAULT,
+                *faults.REPLACEMENTS_BY_KIND.values(),
                 *faults.LINK_FAULTS,
             },
             {fault.kind for fault in generated_faults},
@@ -143,6 +147,19 @@
         )
         self.assertEqual([], outcome.breaches)
 
+    def test_limited_targets_while_entries_restart(self):
+        limited = tuple(
+            build_fault('limited-target', index=index, at_s=0.1)
+            for index in range(2)
+        )
+        outcome = runner.play(
+            seed=1,
+            seconds=8.0,
+            planned_faults=(*limited, *ENTRY_FAULTS),
+        )
+        self.assertEqual([], outcome.breaches)
+        self.assertTrue(outcome.history.limited_arrivals)
+
     def test_each_broken_promise_is_caught(self):
         for promise in mutants.MUTATIONS_BY_PROMISE:
             with self.subTest(promise=promise):
