Run the soak's targets on addresses of their own

The soak's targets and proxies were the only servers of it on 127.0.0.1, at ports that the kernel chooses and that clients of other suites, whose targets have ended, may still connect to. They listen on the soak's own block of addresses now, like its entries.

That this was the cause is only suspected: the record of the finding doesn't show the request.

--- a/packages/savoryyoke-fakes/savoryyoke_fakes/deployment/replica.py
+++ b/packages/savoryyoke-fakes/savoryyoke_fakes/deployment/replica.py
@@ -131,13 +131,15 @@
         self._fatal_requests = fatal_requests
         self._serve_scope = anyio.CancelScope()
 
-    async def serve(self, *, task_status, port=0):
+    async def serve(self, *, task_status, host='127.0.0.1', port=0):
         """Serve on loopback until ``crash`` is called.
 
         Pass the bound address to ``task_status``.
         """
         with self._serve_scope:
-            await http.serve(self._answer, task_status=task_status, port=port)
+            await http.serve(
+                self._answer, task_status=task_status, host=host, port=port
+            )
 
     def crash(self):
         """Close the listener and all connections at once."""
--- a/packages/savoryyoke-soak/savoryyoke_soak/backend.py
+++ b/packages/savoryyoke-soak/savoryyoke_soak/backend.py
@@ -8,6 +8,7 @@
 states a rate limit, and none after the next SIGRTMIN.
 """
 
+import functools
 import os
 import signal
 import sys
@@ -83,8 +84,8 @@
                 fake.pause, fake.arrivals.is_busy = None, False
 
 
-async def serve(target_id):
-    """Serve as the target ``target_id`` until killed."""
+async def serve(target_id, host):
+    """Serve as the target ``target_id`` on ``host`` until killed."""
     fake = replica.FakeReplica(
         replica_id=target_id,
         common_oddities=[],
@@ -95,9 +96,11 @@
     fake.arrivals = PrintedArrivals()
     async with anyio.create_task_group() as group:
         group.start_soon(handle_signals, fake)
-        host, port = await group.start(fake.serve)
+        host, port = await group.start(
+            functools.partial(fake.serve, host=host)
+        )
         print(f'address {host} {port}', flush=True)
 
 
 if __name__ == '__main__':
-    anyio.run(serve, sys.argv[1])
+    anyio.run(serve, sys.argv[1], sys.argv[2])
--- a/packages/savoryyoke-soak/savoryyoke_soak/fleet.py
+++ b/packages/savoryyoke-soak/savoryyoke_soak/fleet.py
@@ -80,6 +80,9 @@
         self.store = fake_store.FakeStore()
         self._store_address = None
         self._guard, address_block = _reserve_address_block()
+        # Clients of other processes, whose targets have ended, may connect to
+        # any port of 127.0.0.1.
+        self.server_host = f'127.{address_block}.1.1'
         self._control_port = None
         self.entries = [
             Entry(
@@ -107,7 +110,9 @@
         for target in self.targets:
             await self.start_target(target)
         for entry in self.entries:
-            entry.proxy = proxies.Proxy(upstream=self._store_address)
+            entry.proxy = proxies.Proxy(
+                host=self.server_host, upstream=self._store_address
+            )
             await self.start_entry(entry)
         for entry in self.entries:
             await self.wait_until_ready(entry)
@@ -236,7 +241,12 @@
                 )
 
         target.child = children.Child(
-            arguments=['-m', 'savoryyoke_soak.backend', target_id],
+            arguments=[
+                '-m',
+                'savoryyoke_soak.backend',
+                target_id,
+                self.server_host,
+            ],
             environment={},
             on_line=handle_line,
         )
@@ -244,7 +254,9 @@
         with anyio.fail_after(conf.START_TIMEOUT_S):
             await has_address.wait()
         target.proxy = proxies.Proxy(
-            upstream=upstream[0], ends_with_upstream=True
+            host=self.server_host,
+            upstream=upstream[0],
+            ends_with_upstream=True,
         )
         address = await self._group.start(target.proxy.serve)
         target.target_id = target_id
--- a/packages/savoryyoke-soak/savoryyoke_soak/proxies.py
+++ b/packages/savoryyoke-soak/savoryyoke_soak/proxies.py
@@ -25,13 +25,15 @@
 class Proxy:
     """Forward connections from a listening address to an upstream address.
 
-    The mode applies to open connections too. A connection that has lost bytes
-    in a cut or silence is reset at the next change of mode, as TCP would do
-    eventually. With ``ends_with_upstream``, the proxy stops listening once the
-    upstream process has refused a connection.
+    It listens on ``host``. The mode applies to open connections too. A
+    connection that has lost bytes in a cut or silence is reset at the next
+    change of mode, as TCP would do eventually. With ``ends_with_upstream``,
+    the proxy stops listening once the upstream process has refused a
+    connection.
     """
 
-    def __init__(self, *, upstream, ends_with_upstream=False):
+    def __init__(self, *, host, upstream, ends_with_upstream=False):
+        self._host = host
         self._upstream = upstream
         self._ends_with_upstream = ends_with_upstream
         self._listen_scope = anyio.CancelScope()
@@ -50,7 +52,7 @@
 
     async def serve(self, *, task_status):
         """Serve until cancelled; report the address as the task's status."""
-        listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
+        listener = await anyio.create_tcp_listener(local_host=self._host)
         address = listener.extra(anyio.abc.SocketAttribute.local_address)
         task_status.started(address[:2])
         async with listener:
--- a/packages/savoryyoke-soak/tests/test_soak.py
+++ b/packages/savoryyoke-soak/tests/test_soak.py
@@ -104,13 +104,16 @@
     def test_two_soaks_at_once_use_different_addresses(self, randrange):
         randrange.side_effect = [77, 77, 78]
         hosts = []
+        server_hosts = []
         for _ in range(2):
             started_fleet = fleet.Fleet(
                 group=None, directory='/tmp', history=None, arguments=()
             )
             self.addCleanup(started_fleet.kill_all)
             hosts.append(started_fleet.entries[0].host)
+            server_hosts.append(started_fleet.server_host)
         self.assertEqual(['127.77.0.1', '127.78.0.1'], hosts)
+        self.assertEqual(['127.77.1.1', '127.78.1.1'], server_hosts)
 
 
 class SoakTests(unittest.TestCase):
