Give callers the time for headers that the configuration states

The time that the operators' configuration allows for the headers of a request was decoded and used by nobody: an entry closed a connection whose headers took longer than its own 10 s, whatever the configuration said. Callers that keep to a longer limit would have lost requests.

The time follows the configuration like the idle timeout, and never decreases within a process.

--- a/packages/savoryyoke-edge/savoryyoke_edge/servers.py
+++ b/packages/savoryyoke-edge/savoryyoke_edge/servers.py
@@ -22,12 +22,16 @@
     header_timeout_s = 5.0
     _header_timer = None
 
+    def get_header_timeout_s(self):
+        """Return the time for the next request's headers."""
+        return self.header_timeout_s
+
     def connection_made(self, transport):
         """Start the header timer of the first request."""
         super().connection_made(transport)
         loop = asyncio.get_running_loop()
         self._header_timer = loop.call_later(
-            self.header_timeout_s, transport.close
+            self.get_header_timeout_s(), transport.close
         )
 
     def connection_lost(self, exc):
@@ -39,7 +43,7 @@
         """Start the header timer of a later request on the connection."""
         if self._header_timer is None:
             self._header_timer = asyncio.get_running_loop().call_later(
-                self.header_timeout_s, self.transport.close
+                self.get_header_timeout_s(), self.transport.close
             )
         super().on_message_begin()
 
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/daemon.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/daemon.py
@@ -29,8 +29,8 @@
 from savoryyoke_gateway import stopping
 from savoryyoke_gateway import suspects
 
-# Limits in seconds of callers' connections. The idle timeout is raised to that
-# of each configuration, see ``serving.IdleLimit``.
+# Limits in seconds of callers' connections. They are raised to those of each
+# configuration, see ``serving.ConnectionTimeouts``.
 _HEADER_TIMEOUT_S = 10.0
 _IDLE_TIMEOUT_S = 15.0
 
@@ -61,7 +61,9 @@
         self._settings = settings
         self._read_settings = read_settings
         self._clock = clock
-        self._idle_limit = serving.IdleLimit(timeout_s=_IDLE_TIMEOUT_S)
+        self._connection_timeouts = serving.ConnectionTimeouts(
+            header_s=_HEADER_TIMEOUT_S, idle_s=_IDLE_TIMEOUT_S
+        )
         self._metrics = metrics.GatewayMetrics(
             registry=prometheus_client.CollectorRegistry()
         )
@@ -238,8 +240,7 @@
         }
         return serving.build_server(
             serving.ApplicationsByPort(applications_by_port),
-            header_timeout_s=_HEADER_TIMEOUT_S,
-            idle_limit=self._idle_limit,
+            timeouts=self._connection_timeouts,
         )
 
     def _apply_publication(self, publication):
@@ -248,7 +249,10 @@
         catalogue = publication.catalogue
         if catalogue is None:
             return
-        self._idle_limit.extend(catalogue.caller_limits.idle_timeout_s)
+        self._connection_timeouts.extend(
+            header_s=catalogue.caller_limits.header_timeout_s,
+            idle_s=catalogue.caller_limits.idle_timeout_s,
+        )
         entry_count = max(
             self.peering.table.max_entry_count, conf.EXPECTED_ENTRY_COUNT
         )
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/serving.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/serving.py
@@ -3,19 +3,22 @@
 from savoryyoke_edge import servers
 
 
-class IdleLimit:
-    """Hold how many seconds idle connections of callers stay open.
+class ConnectionTimeouts:
+    """Hold the timeouts of callers' connections in seconds.
 
-    It never decreases: callers may rely on any limit that was in force
-    while their connection was open.
+    ``header_s`` is the time for the headers of a request, and ``idle_s`` the
+    time that an idle connection stays open. They never decrease: callers may
+    rely on any limit that was in force while their connection was open.
     """
 
-    def __init__(self, *, timeout_s):
-        self.timeout_s = timeout_s
+    def __init__(self, *, header_s, idle_s):
+        self.header_s = header_s
+        self.idle_s = idle_s
 
-    def extend(self, timeout_s):
-        """Keep connections open for at least ``timeout_s`` seconds."""
-        self.timeout_s = max(self.timeout_s, timeout_s)
+    def extend(self, *, header_s, idle_s):
+        """Keep connections open for at least these times."""
+        self.header_s = max(self.header_s, header_s)
+        self.idle_s = max(self.idle_s, idle_s)
 
 
 class ApplicationsByPort:
@@ -30,16 +33,20 @@
         await application(scope, receive, send)
 
 
-def build_server(application, *, header_timeout_s, idle_limit):
-    """Return a server that applies ``idle_limit`` to every connection."""
+def build_server(application, *, timeouts):
+    """Return a server that applies ``timeouts`` to every connection."""
 
     class LimitedProtocol(servers.HeaderTimeoutProtocol):
-        """Read the idle limit each time that a connection becomes idle."""
+        """Read the timeouts each time that they begin."""
+
+        def get_header_timeout_s(self):
+            """Return the time for the next request's headers."""
+            return timeouts.header_s
 
         @property
         def timeout_keep_alive(self):
             """Return the limit in seconds."""
-            return idle_limit.timeout_s
+            return timeouts.idle_s
 
         @timeout_keep_alive.setter
         def timeout_keep_alive(self, value):
@@ -47,6 +54,6 @@
 
     return servers.build_server(
         application,
-        header_timeout_s=header_timeout_s,
+        header_timeout_s=timeouts.header_s,
         protocol_class=LimitedProtocol,
     )
