Don't decode what nothing reads of a configuration

The connections that a target accepts, the objective for pauses of a stream and the size of a caller's headers were decoded, held in the catalogue and read by nobody. An odd value among them made the whole configuration unusable: the last one stays in force, and an entry that starts has none.

They are no longer decoded. Requests in flight stay below the slots of a target, which are fewer than its connections. Behaviour for proper configurations is unchanged.

--- a/packages/savoryyoke-gateway/tests/test_dispatching.py
+++ b/packages/savoryyoke-gateway/tests/test_dispatching.py
@@ -35,7 +35,6 @@
 )
 SERVICE = catalogue_models.Service(
     name='s',
-    connections_limit=0,
     slots=None,
     cold_limit=catalogue_models.ColdLimit(rate_per_s=RATE_PER_S),
 )
--- a/packages/savoryyoke/savoryyoke/catalogue/models.py
+++ b/packages/savoryyoke/savoryyoke/catalogue/models.py
@@ -25,8 +25,7 @@
     """Describe which requests go to which services, and with which limits.
 
     ``timeout_s`` limits the whole request. ``objective_s`` is the latency
-    objective for the answer, or for the first event of a stream;
-    ``gap_objective_s`` is the objective for the time between two events. The
+    objective for the answer, or for the first event of a stream. The
     ``priority`` 0 is the highest. ``attempts_limit`` is the number of targets
     that one request may be sent to. An empty ``regions`` allows every region.
     """
@@ -38,7 +37,6 @@
     kind: RequestKind
     timeout_s: float
     objective_s: float
-    gap_objective_s: float | None
     attempts_limit: int
     priority: int
     is_public: bool
@@ -72,7 +70,6 @@
     """
 
     name: str
-    connections_limit: int
     slots: int | None
     cold_limit: ColdLimit | None
 
@@ -89,7 +86,6 @@
 class CallerLimits:
     """Limit the size of a caller's request and the time to send it."""
 
-    header_bytes: int
     body_bytes: int
     header_timeout_s: float
     idle_timeout_s: float
--- a/packages/savoryyoke/tests/catalogue/test_catalogue.py
+++ b/packages/savoryyoke/tests/catalogue/test_catalogue.py
@@ -15,7 +15,6 @@
         'kind': models.RequestKind.IDEMPOTENT,
         'timeout_s': 1.0,
         'objective_s': 0.1,
-        'gap_objective_s': None,
         'attempts_limit': 2,
         'priority': 1,
         'is_public': False,
@@ -33,7 +32,6 @@
         services_by_name={},
         teams_by_key=teams_by_key,
         caller_limits=models.CallerLimits(
-            header_bytes=16384,
             body_bytes=1024,
             header_timeout_s=3.0,
             idle_timeout_s=15.0,
