Wait for the reports of a crash before a part is blamed

Cause: an entry reports only the requests that it sent itself.

A request that would be refused for a part now waits until three crashes with it have had no further report for 0.2 s, two heartbeats, and is decided then; 0.6 s at most. Requests with no part under suspicion, and single requests, don't wait.

--- a/packages/savoryyoke-gateway/savoryyoke_gateway/conf.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/conf.py
@@ -38,6 +38,10 @@
 CRASH_REPORTS_PER_HEARTBEAT = 8
 CRASH_DIGESTS_PER_REPORT = 16
 
+# Limits how long a request waits for further reports on crashes. They come
+# within a heartbeat or two of each crash.
+CRASH_REPORTS_WAIT_S = 0.6
+
 # Limit on an answer's head, including the informational answers before it and
 # the 64 KB that the HTTP library reads at once. The users' heads are smaller
 # than 1 KB.
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/daemon.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/daemon.py
@@ -76,9 +76,9 @@
             clock=clock,
             metrics=self._metrics,
         )
-        self._suspects = suspects.Suspects(metrics=self._metrics, clock=clock)
+        self.suspects = suspects.Suspects(metrics=self._metrics, clock=clock)
         self._crashes = crashes.CrashWatch(
-            suspects=self._suspects, metrics=self._metrics, clock=clock
+            suspects=self.suspects, metrics=self._metrics, clock=clock
         )
         self.published_state = published_state.PublishedState(
             interpreter=interpreter,
@@ -96,7 +96,7 @@
             settings=settings,
             published_state=self.published_state,
             dispatching=self._dispatching,
-            suspects=self._suspects,
+            suspects=self.suspects,
             get_entry_state=self._get_entry_state,
             choose_read_pause_s=self._choose_read_pause_s,
             restart_long_poll=lambda: self._follower.restart_long_poll(),
@@ -122,7 +122,7 @@
                 translator=translator,
                 metrics=self._metrics,
                 crashes=self._crashes,
-                suspects=self._suspects,
+                suspects=self.suspects,
                 stopping=self._stopping,
                 random_fraction=random_fraction,
                 clock=clock,
@@ -318,7 +318,7 @@
                 ),
                 'quarantined': (
                     'Patterns of requests that are quarantined.',
-                    self._suspects.quarantined_count,
+                    self.suspects.quarantined_count,
                 ),
                 'peers': (
                     'Other entries that are heard.',
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/forwarder.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/forwarder.py
@@ -187,6 +187,7 @@
 
     async def _forward(self, call):
         """Place the request and return the final decision on it."""
+        await self._wait_for_crash_reports(call)
         if self._is_quarantined(call):
             return decisions.Refuse(reason=call.reason)
         placement = await self._place(call)
@@ -210,6 +211,7 @@
             if isinstance(decision, calls.Move):
                 placement, decision = decision.placement, decision.decision
             elif isinstance(decision, decisions.TryAnother):
+                await self._wait_for_crash_reports(call)
                 placement = self._place_retry(call, decision)
             else:
                 return decision
@@ -222,6 +224,15 @@
                 call.ledger.last_event_id or call.request.resume_after
             )
 
+    async def _wait_for_crash_reports(self, call):
+        """Wait while reports may show that the request crashes no target."""
+        with anyio.move_on_after(conf.CRASH_REPORTS_WAIT_S):
+            while True:
+                withhold = self._suspects.find_withheld(call)
+                if withhold is None or not withhold.incomplete_s:
+                    return
+                await anyio.sleep(withhold.incomplete_s)
+
     def _is_quarantined(self, call, *, release=None):
         """Return whether the request must not be sent to ``release``.
 
--- a/packages/savoryyoke/savoryyoke/quarantine/aggregates.py
+++ b/packages/savoryyoke/savoryyoke/quarantine/aggregates.py
@@ -96,6 +96,9 @@
                 includes_other_releases=self._withholds_other_releases(
                     summary, now_s
                 ),
+                incomplete_s=self._evidence.count_incomplete_s(
+                    pattern, now_s=now_s
+                ),
             ),
         )
 
--- a/packages/savoryyoke/savoryyoke/quarantine/conf.py
+++ b/packages/savoryyoke/savoryyoke/quarantine/conf.py
@@ -34,6 +34,11 @@
     other. It does not apply to parts of prompts, since healthy requests that
     share a part are sent any number of times.
 
+    Each entry reports only the requests that it sent itself to a crashed
+    target, so the reports of a crash are complete ``report_completion_s``
+    after the last addition, which is two heartbeats of most fleets. Before,
+    requests are not refused for parts of their prompts, but wait.
+
     Evidence expires ``evidence_lifetime_s`` after the crash. It is no longer
     shared during the last ``stop_sharing_before_expiry_s`` of that time, so
     that a delayed message does not restore it elsewhere. A success clears a
@@ -55,6 +60,7 @@
     crashes_to_quarantine: int = 3
     crashes_to_quarantine_without_peers: int = 2
     total_crashes_to_quarantine: int | None = None
+    report_completion_s: float = 0.2
     evidence_lifetime_s: float = 3600.0
     stop_sharing_before_expiry_s: float = 10.0
     success_retention_s: float = 30.0
--- a/packages/savoryyoke/savoryyoke/quarantine/decisions.py
+++ b/packages/savoryyoke/savoryyoke/quarantine/decisions.py
@@ -40,6 +40,8 @@
     ``crashes`` is the number of their crashes, and ``retry_after_s`` the
     seconds until one may be tried there again. If ``includes_other_releases``
     is true, the request must not be sent to any other release either.
+    ``incomplete_s`` is the time in seconds after which the reports of the
+    crashes are complete: a request should wait for it before it is refused.
     """
 
     pattern: frozenset[bytes]
@@ -47,6 +49,7 @@
     crashes: int
     retry_after_s: float
     includes_other_releases: bool = False
+    incomplete_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/savoryyoke/savoryyoke/quarantine/evidence.py
+++ b/packages/savoryyoke/savoryyoke/quarantine/evidence.py
@@ -53,6 +53,7 @@
     cleared: frozenset[bytes]
     expires_s: float
     release: str
+    reported_s: float
     parts_sent: int = 0
 
     @property
@@ -106,7 +107,7 @@
         )
         crash = self._crashes_by_id.get(report.crash_id)
         if crash is None:
-            crash = self._add_crash(report.crash_id, expires_s)
+            crash = self._add_crash(report.crash_id, expires_s, now_s)
         if crash is None:
             return False
         fingerprints = crash.fingerprints | report.fingerprints
@@ -122,6 +123,8 @@
             crash.release,
         ):
             return False
+        if crash.digests != fingerprints | prompt_parts:
+            crash.reported_s = now_s
         crash.fingerprints = fingerprints
         crash.prompt_parts = prompt_parts
         crash.cleared = cleared
@@ -157,6 +160,22 @@
         ]
         return min(patterns, key=sorted, default=None)
 
+    def count_incomplete_s(self, pattern, *, now_s):
+        """Return in how many seconds the reports on a pattern are complete.
+
+        Until then, a part that healthy prompts share may seem to be what some
+        crashes have in common. Return 0 for a pattern without such a part.
+        """
+        reported_s = sorted(
+            crash.reported_s
+            for crash in self._crashes_by_id.values()
+            if pattern <= crash.suspects and pattern & crash.prompt_parts
+        )
+        if len(reported_s) < self._crashes_to_quarantine:
+            return 0.0
+        decisive_s = reported_s[self._crashes_to_quarantine - 1]
+        return max(decisive_s + self._policy.report_completion_s - now_s, 0.0)
+
     def summarize_crashes(self, pattern):
         """Return the summary for a pattern, or None without crashes."""
         crashes = [
@@ -247,7 +266,7 @@
             if crash.expires_s <= now_s:
                 self._remove_crash(crash_id)
 
-    def _add_crash(self, crash_id, expires_s):
+    def _add_crash(self, crash_id, expires_s, now_s):
         """Add a crash; return None if all of the stored ones are newer."""
         if len(self._crashes_by_id) >= self._policy.crash_limit:
             oldest_expires_s, oldest_id = min(
@@ -263,6 +282,7 @@
             cleared=frozenset(),
             expires_s=expires_s,
             release='',
+            reported_s=now_s,
         )
         self._crashes_by_id[crash_id] = crash
         return crash
--- a/packages/savoryyoke/tests/quarantine/test_withholding.py
+++ b/packages/savoryyoke/tests/quarantine/test_withholding.py
@@ -168,6 +168,34 @@
         self.assertTrue(self.is_withheld(self.INSTRUCTIONS, content=FATAL))
         self.assertFalse(self.is_withheld(self.INSTRUCTIONS))
 
+    def offer_incomplete(self, *parts, now_s):
+        """Return how long a request waits for further reports."""
+        event = events.SendOffered(
+            call_id='call', fingerprint=b'new', prompt_parts=frozenset(parts)
+        )
+        (decision,) = self.apply(event, now_s)
+        return getattr(decision, 'incomplete_s', None)
+
+    def test_request_waits_for_the_reports_of_other_entries(self):
+        self.crash_prompts(*[(self.INSTRUCTIONS,)] * 3)
+        wait_s = POLICY.report_completion_s
+        self.assertEqual(
+            wait_s, self.offer_incomplete(self.INSTRUCTIONS, now_s=0.0)
+        )
+        # Another entry's requests show what else the crashes have in common.
+        self.crash_prompts(*[(self.FATAL_PART,)] * 4, now_s=0.1)
+        self.assertIsNone(self.offer_incomplete(self.INSTRUCTIONS, now_s=0.2))
+        self.assertAlmostEqual(
+            wait_s - 0.1, self.offer_incomplete(self.FATAL_PART, now_s=0.2)
+        )
+        self.assertEqual(
+            0.0, self.offer_incomplete(self.FATAL_PART, now_s=0.1 + wait_s)
+        )
+
+    def test_request_does_not_wait_for_reports_on_its_content(self):
+        self.crash(1, 2, 3)
+        self.assertEqual(0.0, self.offer().incomplete_s)
+
     def test_one_request_with_the_part_is_tried_again(self):
         self.crash_prompts(*[(self.FATAL_PART,)] * 3)
         due_s = POLICY.retrial_s
--- a/packages/savoryyoke/tests/quarantine/world.py
+++ b/packages/savoryyoke/tests/quarantine/world.py
@@ -235,15 +235,12 @@
     def _refuse_connection(self, run, description):
         refused = events.ConnectionRefused(target=description)
         run.entry.handle_event(refused, self.now_s)
-        if run.entry not in self.entries:
-            self._schedule_next_request(run.kind)
-            return
         self._start_try(
             run.kind, run.content, run.prompt_parts, run.entry, run.tries
         )
 
     def _start_try(self, kind, content, prompt_parts, entry, tries):
-        if tries >= kind.attempts:
+        if tries >= kind.attempts or entry not in self.entries:
             self._schedule_next_request(kind)
             return
         offered = events.SendOffered(
@@ -252,6 +249,17 @@
             prompt_parts=prompt_parts,
         )
         (decision,) = entry.quarantine.apply(offered, now_s=self.now_s)
+        if isinstance(decision, decisions.Withhold) and decision.incomplete_s:
+            self.call_later(
+                decision.incomplete_s,
+                self._start_try,
+                kind,
+                content,
+                prompt_parts,
+                entry,
+                tries,
+            )
+            return
         available = [
             target
             for target in self.targets
