Tell a part that all prompts share from two fatal ones

Cause: a crash is attributed to what was in the most crashes. The shared part is in all of them, more than either fatal one, so it was blamed before any answer could clear it, and while it is withheld, no answer can.

If two other parts explain the crashes of a part as well, only requests with one of these two are withheld. The others show which it is: an answer clears the part, a crash without the two makes it the only explanation. So it costs one target at most where the part is fatal by itself.

--- a/packages/savoryyoke/savoryyoke/quarantine/evidence.py
+++ b/packages/savoryyoke/savoryyoke/quarantine/evidence.py
@@ -364,7 +364,9 @@
 
     A crash is attributed to the suspect that was running in more crashes
     than any other suspect of this crash. Suspects that were running in
-    equally many form a pattern. Crashes with a quarantined suspect or pattern
+    equally many form a pattern. A part of prompts forms a pattern with each of
+    two other parts that explain its crashes as well: requests without these
+    show whether it is the cause. Crashes with a quarantined suspect or pattern
     count as explained and are removed before the others are assessed.
     """
     statuses = {}
@@ -390,7 +392,16 @@
         ]
         poison = _find_poison(unexplained, crashes_to_quarantine)
         patterns = set()
-        if not poison:
+        for part in poison & prompt_parts:
+            other_parts = _find_other_explanation(
+                unexplained, part, prompt_parts
+            )
+            if other_parts:
+                poison -= {part}
+                patterns.update(
+                    frozenset({part, other_part}) for other_part in other_parts
+                )
+        if not poison and not patterns:
             patterns = _find_patterns(
                 unexplained, crashes_to_quarantine, prompt_parts
             )
@@ -414,6 +425,26 @@
     }
 
 
+def _find_other_explanation(unexplained, part, prompt_parts):
+    """Return two parts that together were in all crashes with ``part``.
+
+    At least one of them was in several of these crashes. Return an empty set
+    if there are no such parts.
+    """
+    crashes = [
+        suspects & prompt_parts - {part}
+        for suspects in unexplained
+        if part in suspects
+    ]
+    counts = _count_crashes(crashes)
+    for first in sorted(digest for digest in counts if counts[digest] > 1):
+        others = [parts for parts in crashes if first not in parts]
+        common_parts = frozenset.intersection(*others) if others else ()
+        if common_parts:
+            return frozenset({first, min(common_parts)})
+    return frozenset()
+
+
 def _find_patterns(unexplained, crashes_to_quarantine, prompt_parts):
     """Return the patterns of several digests that explain enough crashes.
 
--- a/packages/savoryyoke/tests/quarantine/test_fleet.py
+++ b/packages/savoryyoke/tests/quarantine/test_fleet.py
@@ -188,7 +188,7 @@
                         crashes_before_limit=PART_CRASHES_BEFORE_LIMIT,
                     )
                     self.assertLessEqual(late, MAX_LATE_ARRIVALS)
-                for parts in fleet.refused_parts:
+                for parts in fleet.refused_s_by_parts:
                     self.assertTrue(parts & set(fatal_parts), parts)
 
     def test_one_part(self):
@@ -210,6 +210,35 @@
 
         self.check_parts(b'bad', is_connected=is_connected)
 
+    def test_parts_that_crash_targets_before_any_answer(self):
+        fatal_parts = (b'bad-1', b'bad-2')
+        kinds = [
+            world.Kind(fatal_after_s=0.03, prompt_parts=(b'common', part))
+            for part in fatal_parts
+        ] * 3
+        healthy_parts = frozenset({b'common', b'other'})
+        healthy = world.Kind(work_s=0.5, prompt_parts=tuple(healthy_parts))
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                fleet = self.simulate([*kinds, *[healthy] * 4], seed=seed)
+                for part in fatal_parts:
+                    late = count_late(
+                        fleet,
+                        part,
+                        crashes_before_limit=PART_CRASHES_BEFORE_LIMIT,
+                    )
+                    self.assertLessEqual(late, MAX_LATE_ARRIVALS)
+                # All healthy prompts share a part with all that crash targets.
+                served_from_s = fleet.crashes_s[b'common'][
+                    :PART_CRASHES_BEFORE_LIMIT
+                ][-1] + (2 * DETECTION_S)
+                late_refusals = [
+                    at_s
+                    for at_s in fleet.refused_s_by_parts[healthy_parts]
+                    if at_s > served_from_s
+                ]
+                self.assertEqual([], late_refusals)
+
     def test_targets_that_crash_for_another_cause(self):
         healthy = world.Kind(
             pause_s=0.1, work_s=0.5, drawn_parts=self.POPULAR[:4]
--- a/packages/savoryyoke/tests/quarantine/test_withholding.py
+++ b/packages/savoryyoke/tests/quarantine/test_withholding.py
@@ -145,6 +145,19 @@
         self.assertFalse(self.is_withheld(self.INSTRUCTIONS))
         self.assertFalse(self.is_withheld(self.FATAL_PART, b'other'))
 
+    def test_part_of_all_crashes_that_two_other_parts_explain(self):
+        prompts = [
+            (self.INSTRUCTIONS, part)
+            for part in (self.FATAL_PART, self.FATAL_PART, b'fatal-2')
+        ]
+        self.crash_prompts(*prompts)
+        self.assertTrue(self.is_withheld(self.INSTRUCTIONS, self.FATAL_PART))
+        self.assertTrue(self.is_withheld(self.INSTRUCTIONS, b'fatal-2'))
+        self.assertFalse(self.is_withheld(self.INSTRUCTIONS, b'other'))
+        # A crash without either of them shows the common part to be fatal.
+        self.crash_prompts(*prompts, (self.INSTRUCTIONS, b'other'))
+        self.assertTrue(self.is_withheld(self.INSTRUCTIONS, b'new'))
+
     def test_success_tells_parts_of_the_same_prompts_apart(self):
         self.crash_prompts(*[(self.INSTRUCTIONS, self.FATAL_PART)] * 3)
         self.succeed(self.INSTRUCTIONS)
--- a/packages/savoryyoke/tests/quarantine/world.py
+++ b/packages/savoryyoke/tests/quarantine/world.py
@@ -127,7 +127,7 @@
         self.arrivals_s = collections.defaultdict(list)
         self.crashes_s = collections.defaultdict(list)
         self.refused = collections.Counter()
-        self.refused_parts = collections.Counter()
+        self.refused_s_by_parts = collections.defaultdict(list)
         self.served = collections.Counter()
         for target in self.targets:
             self._restart_target(target)
@@ -274,7 +274,7 @@
             ]
             if decision.includes_other_releases or not available:
                 self.refused[content] += 1
-                self.refused_parts[prompt_parts] += 1
+                self.refused_s_by_parts[prompt_parts].append(self.now_s)
                 self._schedule_next_request(kind)
                 return
         if not available:
