--- a/packages/savoryyoke-gateway/savoryyoke_gateway/forwarder.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/forwarder.py
@@ -226,12 +226,21 @@
 
     async def _wait_for_crash_reports(self, call):
         """Wait while reports may show that the request crashes no target."""
+        withhold = self._suspects.find_withheld(call)
+        if withhold is None or not withhold.incomplete_s:
+            return
+        began_s = self._clock()
+        pattern = withhold.pattern
         with anyio.move_on_after(conf.CRASH_REPORTS_WAIT_S):
-            while True:
-                withhold = self._suspects.find_withheld(call)
-                if withhold is None or not withhold.incomplete_s:
-                    return
+            while withhold is not None and withhold.incomplete_s:
                 await anyio.sleep(withhold.incomplete_s)
+                withhold = self._suspects.find_withheld(call)
+        self._reporter.report_wait_for_reports(
+            call,
+            pattern,
+            waited_s=self._clock() - began_s,
+            is_withheld=withhold is not None,
+        )
 
     def _is_quarantined(self, call, *, release=None):
         """Return whether the request must not be sent to ``release``.
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/reporting.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/reporting.py
@@ -31,6 +31,16 @@
             service='none', outcome=reason, duration_s=0.0
         )
 
+    def report_wait_for_reports(self, call, pattern, *, waited_s, is_withheld):
+        """Report a request that waited for crash reports on a pattern."""
+        logs.write_event(
+            'crash_reports_awaited',
+            request=call.request.request_id,
+            pattern=logs.join_digests(pattern),
+            waited_s=round(waited_s, 3),
+            withheld=is_withheld,
+        )
+
     def report_placement(self, call, placement):
         """Report the choice of a target."""
         stamp = self._published_state.stamp()
--- a/packages/savoryyoke-soak/savoryyoke_soak/promises.py
+++ b/packages/savoryyoke-soak/savoryyoke_soak/promises.py
@@ -328,17 +328,17 @@
     arrived_s_by_target = collections.defaultdict(list)
     for arrival in history.limited_arrivals:
         call = calls_by_id.get(arrival.request_id)
-        learned_s = (
-            history.limited_s_by_target[arrival.target_id]
-            + conf.RATE_LIMIT_LEARNING_S
-            + conf.MACHINE_DELAY_S
+        limited_s = max(
+            at_s
+            for at_s in history.limited_s_by_target[arrival.target_id]
+            if at_s <= arrival.at_s
         )
-        if (
-            call is not None
-            and arrival.at_s > learned_s
-            and not _may_lack_reports(history, call)
-        ):
-            arrived_s_by_target[arrival.target_id].append(arrival.at_s)
+        is_learned = arrival.at_s > (
+            limited_s + conf.RATE_LIMIT_LEARNING_S + conf.MACHINE_DELAY_S
+        )
+        if call is None or not is_learned or _may_lack_reports(history, call):
+            continue
+        arrived_s_by_target[arrival.target_id].append(arrival.at_s)
     for target_id, arrived_s in arrived_s_by_target.items():
         most = max(
             sum(
--- a/packages/savoryyoke-soak/savoryyoke_soak/records.py
+++ b/packages/savoryyoke-soak/savoryyoke_soak/records.py
@@ -1,5 +1,6 @@
 """Define the records of what callers, targets and the soak observed."""
 
+import collections
 import dataclasses
 import enum
 
@@ -141,4 +142,7 @@
     started_s_by_incarnation: dict = dataclasses.field(default_factory=dict)
     written_s_by_version: dict = dataclasses.field(default_factory=dict)
     draining_s_by_target: dict = dataclasses.field(default_factory=dict)
-    limited_s_by_target: dict = dataclasses.field(default_factory=dict)
+    # The times from which a target stated a rate limit, in order.
+    limited_s_by_target: dict = dataclasses.field(
+        default_factory=lambda: collections.defaultdict(list)
+    )
--- a/packages/savoryyoke-soak/savoryyoke_soak/runner.py
+++ b/packages/savoryyoke-soak/savoryyoke_soak/runner.py
@@ -407,7 +407,7 @@
 
     async def _limit_rate(self, target, fault):
         limited_s_by_target = self._history.limited_s_by_target
-        limited_s_by_target[target.target_id] = time.monotonic()
+        limited_s_by_target[target.target_id].append(time.monotonic())
         target.child.signal(signal.SIGRTMIN)
         await anyio.sleep(conf.LIMITED_FOR_S + fault.for_s)
         target.child.signal(signal.SIGRTMIN)
--- a/packages/savoryyoke-soak/tests/test_promises.py
+++ b/packages/savoryyoke-soak/tests/test_promises.py
@@ -318,7 +318,7 @@
             )
 
     def test_requests_beyond_a_rate_limit(self):
-        self.history.limited_s_by_target['target-1'] = 10.0
+        self.history.limited_s_by_target['target-1'] = [10.0, 90.0]
         allowed = int(conf.ARRIVALS_IN_WINDOW)
         self.add_limited_arrivals(allowed + 1, from_s=11.0)
         self.add_limited_arrivals(allowed, from_s=20.0)
