--- a/packages/savoryyoke/tests/quarantine/test_fleet.py
+++ b/packages/savoryyoke/tests/quarantine/test_fleet.py
@@ -181,16 +181,18 @@
                 fleet = self.simulate(
                     [], seed=seed, prepare=prepare, **changes
                 )
-                for part in fatal_parts:
-                    late = count_late(
-                        fleet,
-                        part,
-                        crashes_before_limit=PART_CRASHES_BEFORE_LIMIT,
-                    )
-                    self.assertLessEqual(late, MAX_LATE_ARRIVALS)
+                self.check_part_bound(fleet, fatal_parts)
                 for parts in fleet.refused_s_by_parts:
                     self.assertTrue(parts & set(fatal_parts), parts)
 
+    def check_part_bound(self, fleet, fatal_parts):
+        """Check that requests with fatal parts are no longer sent."""
+        for part in fatal_parts:
+            late_arrivals = count_late(
+                fleet, part, crashes_before_limit=PART_CRASHES_BEFORE_LIMIT
+            )
+            self.assertLessEqual(late_arrivals, MAX_LATE_ARRIVALS)
+
     def test_one_part(self):
         self.check_parts(b'bad')
 
@@ -221,13 +223,7 @@
         for seed in SEEDS:
             with self.subTest(seed=seed):
                 fleet = self.simulate([*kinds, *[healthy] * 4], seed=seed)
-                for part in fatal_parts:
-                    late = count_late(
-                        fleet,
-                        part,
-                        crashes_before_limit=PART_CRASHES_BEFORE_LIMIT,
-                    )
-                    self.assertLessEqual(late, MAX_LATE_ARRIVALS)
+                self.check_part_bound(fleet, fatal_parts)
                 # All healthy prompts share a part with all that crash targets.
                 served_from_s = fleet.crashes_s[b'common'][
                     :PART_CRASHES_BEFORE_LIMIT
