Look up the evidence against a request once before it is placed

The wait for crash reports looked it up, and the check right after it did so again, for each request; each look-up also removes expired crashes. The wait returns what it found last. Other look-ups, before a try and before a further one, are as before: reports may have come since. No behaviour changes. Run: platform test_crash_reports and test_path, the gateway's tests.

--- a/packages/savoryyoke-gateway/savoryyoke_gateway/forwarder.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/forwarder.py
@@ -187,8 +187,8 @@
 
     async def _forward(self, call):
         """Place the request and return the final decision on it."""
-        await self._wait_for_crash_reports(call)
-        if self._is_quarantined(call):
+        withhold = await self._wait_for_crash_reports(call)
+        if self._is_quarantined(call, withhold):
             return decisions.Refuse(reason=call.reason)
         placement = await self._place(call)
         if isinstance(placement, placement_decisions.Refuse):
@@ -200,7 +200,10 @@
         while True:
             # Crash reports of other entries may have arrived since the
             # placement.
-            if self._is_quarantined(call, release=placement.target.release):
+            withhold = self._suspects.find_withheld(call)
+            if self._is_quarantined(
+                call, withhold, release=placement.target.release
+            ):
                 self._dispatching.withdraw_placement(
                     call.service_name, placement
                 )
@@ -225,30 +228,35 @@
             )
 
     async def _wait_for_crash_reports(self, call):
-        """Wait while reports may show that the request crashes no target."""
+        """Wait while reports may show that the request crashes no target.
+
+        Return the ``Withhold`` decision on the request, or None.
+        """
         withhold = self._suspects.find_withheld(call)
         if withhold is None or not withhold.incomplete_s:
-            return
+            return withhold
         began_s = self._clock()
         pattern = withhold.pattern
-        with anyio.move_on_after(conf.CRASH_REPORTS_WAIT_S):
+        with anyio.move_on_after(conf.CRASH_REPORTS_WAIT_S) as scope:
             while withhold is not None and withhold.incomplete_s:
                 await anyio.sleep(withhold.incomplete_s)
                 withhold = self._suspects.find_withheld(call)
+        if scope.cancelled_caught:
+            withhold = self._suspects.find_withheld(call)
         self._reporter.report_wait_for_reports(
             call,
             pattern,
             waited_s=self._clock() - began_s,
             is_withheld=withhold is not None,
         )
+        return withhold
 
-    def _is_quarantined(self, call, *, release=None):
+    def _is_quarantined(self, call, withhold, *, release=None):
         """Return whether the request must not be sent to ``release``.
 
         If ``release`` is None, return whether it must not be sent to any
         release that its service runs.
         """
-        withhold = self._suspects.find_withheld(call)
         if withhold is None:
             call.withheld_releases = call.withheld_pattern = frozenset()
             return False
@@ -341,7 +349,8 @@
         """Return why a further try is not allowed, or None if it is."""
         if time_left_s < forwarding_conf.SHORTEST_TRY_S:
             return 'no-time'
-        if self._is_quarantined(call):
+        withhold = self._suspects.find_withheld(call)
+        if self._is_quarantined(call, withhold):
             return call.reason
         if decision.is_repeat and not self._allowances.has_token(
             call.service_name
