Let the protocol of entries hold its header timeout as a property

A getter had been added beside the attribute, and the server was still given a value that the getter hid. The protocol of entries overrides the attribute itself, as it does with the idle timeout, and the server's builder sets one only if it is given. No behaviour changes; test_caller_limits and the tests of savoryyoke-edge pass.

--- a/packages/savoryyoke-edge/savoryyoke_edge/servers.py
+++ b/packages/savoryyoke-edge/savoryyoke_edge/servers.py
@@ -22,16 +22,12 @@
     header_timeout_s = 5.0
     _header_timer = None
 
-    def get_header_timeout_s(self):
-        """Return the time for the next request's headers."""
-        return self.header_timeout_s
-
     def connection_made(self, transport):
         """Start the header timer of the first request."""
         super().connection_made(transport)
         loop = asyncio.get_running_loop()
         self._header_timer = loop.call_later(
-            self.get_header_timeout_s(), transport.close
+            self.header_timeout_s, transport.close
         )
 
     def connection_lost(self, exc):
@@ -43,7 +39,7 @@
         """Start the header timer of a later request on the connection."""
         if self._header_timer is None:
             self._header_timer = asyncio.get_running_loop().call_later(
-                self.get_header_timeout_s(), self.transport.close
+                self.header_timeout_s, self.transport.close
             )
         super().on_message_begin()
 
@@ -84,7 +80,7 @@
 def build_server(
     application,
     *,
-    header_timeout_s,
+    header_timeout_s=None,
     idle_timeout_s=IDLE_TIMEOUT_S,
     connection_limit=None,
     protocol_class=HeaderTimeoutProtocol,
@@ -93,13 +89,16 @@
 
     ``header_timeout_s`` and ``idle_timeout_s`` close slow and idle
     connections; uvicorn answers 503 above ``connection_limit`` connections.
-    ``protocol_class`` is ``HeaderTimeoutProtocol`` or a subclass of it.
+    ``protocol_class`` is ``HeaderTimeoutProtocol`` or a subclass of it, whose
+    own header timeout applies if none is given.
     """
-    protocol = type(
-        'TimedProtocol',
-        (protocol_class,),
-        {'header_timeout_s': header_timeout_s},
-    )
+    protocol = protocol_class
+    if header_timeout_s is not None:
+        protocol = type(
+            'TimedProtocol',
+            (protocol_class,),
+            {'header_timeout_s': header_timeout_s},
+        )
     config = uvicorn.Config(
         application,
         http=protocol,
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/serving.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/serving.py
@@ -39,7 +39,8 @@
     class LimitedProtocol(servers.HeaderTimeoutProtocol):
         """Read the timeouts each time that they begin."""
 
-        def get_header_timeout_s(self):
+        @property
+        def header_timeout_s(self):
             """Return the time for the next request's headers."""
             return timeouts.header_s
 
@@ -52,8 +53,4 @@
         def timeout_keep_alive(self, value):
             """Ignore the fixed limit in the server's configuration."""
 
-    return servers.build_server(
-        application,
-        header_timeout_s=timeouts.header_s,
-        protocol_class=LimitedProtocol,
-    )
+    return servers.build_server(application, protocol_class=LimitedProtocol)
