Build the key of an incarnation in one place

Reports on rate limits had a property that built the same pair as notices.build_key, and so did the hints on leaving targets; the limits looked a target up in the same way five times. build_key serves all of them, since reports and hints name the incarnation as targets do.

--- a/packages/savoryyoke-gateway/savoryyoke_gateway/dispatching.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/dispatching.py
@@ -235,9 +235,7 @@
             peer_id=peer_id, peer_incarnation=peer_incarnation, reports=reports
         )
         for service_dispatcher in self._dispatchers_by_service.values():
-            targets = service_dispatcher.pool.find_targets(
-                report.key for report in reports
-            )
+            targets = service_dispatcher.pool.find_targets(reports)
             limits = service_dispatcher.pool.rate_limits
             previous = [limits.limit_per_s(target) for target in targets]
             self._apply(service_dispatcher, event)
--- a/packages/savoryyoke/savoryyoke/placement/notices.py
+++ b/packages/savoryyoke/savoryyoke/placement/notices.py
@@ -45,7 +45,7 @@
     def record_hints(self, hints, *, now_s):
         """Record the ``LeavingTarget`` hints of another entry."""
         for hint in hints:
-            key = (hint.target_id, hint.incarnation)
+            key = build_key(hint)
             announced_s = now_s - max(hint.age_s, 0.0)
             announced_s = max(
                 announced_s,
@@ -123,7 +123,7 @@
 
 
 def build_key(target):
-    """Return the key of a target's incarnation."""
+    """Return the key of the incarnation of a target, or of a report on it."""
     return (target.target_id, target.incarnation)
 
 
--- a/packages/savoryyoke/savoryyoke/placement/pool.py
+++ b/packages/savoryyoke/savoryyoke/placement/pool.py
@@ -233,19 +233,22 @@
             return None
         return min(ends_s)
 
-    def find_targets(self, keys):
-        """Return the targets of those keys of incarnations that are listed."""
+    def find_targets(self, reports):
+        """Return the targets of those reports whose incarnation is listed."""
         targets = []
-        for target_id, incarnation in keys:
-            state = self._states_by_id.get(target_id)
-            if state is not None and state.target.incarnation == incarnation:
+        for report in reports:
+            state = self._states_by_id.get(report.target_id)
+            if (
+                state is not None
+                and state.target.incarnation == report.incarnation
+            ):
                 targets.append(state.target)
         return targets
 
     def add_rate_reports(self, reports, *, peer_id, peer_incarnation, now_s):
         """Add a peer's ``RateReport`` objects that concern these targets."""
         self.rate_limits.add_reports(
-            [report for report in reports if self.find_targets([report.key])],
+            [report for report in reports if self.find_targets([report])],
             peer_id=peer_id,
             peer_incarnation=peer_incarnation,
             now_s=now_s,
--- a/packages/savoryyoke/savoryyoke/placement/rate_limits.py
+++ b/packages/savoryyoke/savoryyoke/placement/rate_limits.py
@@ -10,7 +10,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class RateReport:
-    """Report what an entry knows about the rate limit of a target.
+    """Report the state of a target's rate limit at an entry.
 
     ``limit_per_s`` is None if the target no longer states a limit, ``age_s``
     is the time since its last statement. ``sent_count`` grows with each
@@ -25,11 +25,6 @@
     sent_count: int
     demand_per_s: float
 
-    @property
-    def key(self):
-        """Return the key of the target's incarnation."""
-        return (self.target_id, self.incarnation)
-
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _PeerCount:
@@ -206,7 +201,7 @@
 
     def limit_per_s(self, target):
         """Return the rate limit of a target, or None without one."""
-        limit = self._limits_by_key.get(notices.build_key(target))
+        limit = self._find(target)
         return None if limit is None else limit.limit_per_s
 
     def limited_count(self):
@@ -226,7 +221,7 @@
         ``RATE_LIMIT_END_S`` after the last statement, because some kinds of
         answers may lack the statement.
         """
-        limit = self._limits_by_key.get(notices.build_key(target))
+        limit = self._find(target)
         current_per_s = None if limit is None else limit.limit_per_s
         if limit_per_s is None:
             is_newer = (
@@ -253,7 +248,7 @@
 
     def record_sent(self, target, *, now_s):
         """Record that a request is sent to a target."""
-        limit = self._limits_by_key.get(notices.build_key(target))
+        limit = self._find(target)
         if limit is not None:
             self._advance(limit, now_s)
             limit.record_sent()
@@ -262,17 +257,17 @@
         """Add the ``RateReport`` objects of another entry."""
         for report in reports:
             heard_s = now_s - max(report.age_s, 0.0)
-            limit = self._limits_by_key.get(report.key)
+            limit = self._find(report)
             if limit is None and report.limit_per_s is None:
                 continue
             if limit is None or heard_s > limit.heard_s:
                 self._state(
-                    report.key,
+                    notices.build_key(report),
                     report.limit_per_s,
                     heard_s=heard_s,
                     now_s=now_s,
                 )
-            limit = self._limits_by_key[report.key]
+            limit = self._find(report)
             self._advance(limit, now_s)
             limit.record_peer_count(
                 peer_id,
@@ -311,7 +306,7 @@
         A request leaves some room if there is demand for more urgent ones. A
         lower ``priority`` is more urgent.
         """
-        limit = self._limits_by_key.get(notices.build_key(target))
+        limit = self._find(target)
         if limit is None or limit.limit_per_s is None:
             return True
         self._advance(limit, now_s)
@@ -328,7 +323,7 @@
 
         The target must have a rate limit.
         """
-        limit = self._limits_by_key[notices.build_key(target)]
+        limit = self._find(target)
         self._advance(limit, now_s)
         claimable = (limit.capacity - limit.level) * conf.RATE_CLAIM_SHARE
         rate_per_s = max(
@@ -337,6 +332,10 @@
         )
         return rate_per_s * self._weight(now_s)
 
+    def _find(self, target):
+        """Return the limit of a target, or of the target of a report."""
+        return self._limits_by_key.get(notices.build_key(target))
+
     def _state(self, key, limit_per_s, *, heard_s, now_s):
         limit = self._limits_by_key.get(key)
         if limit is None:
