Log unusable values of answers through one function

Pauses and rate limits that are no number were each logged once for a target, by two copies of the same lines with a set each. One function and one set by event serve both. No behaviour changes: the new tests, which check both events, pass on the code before and after.

--- a/packages/savoryyoke-gateway/savoryyoke_gateway/dispatching.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/dispatching.py
@@ -1,5 +1,6 @@
 """Hold requests until the dispatcher of their service decides on them."""
 
+import collections
 import dataclasses
 import itertools
 
@@ -43,8 +44,7 @@
         self._peer_reports_by_id = {}
         self._paces_by_address = {}
         self._waiters_by_id = {}
-        self._unusable_pause_ids = set()
-        self._unusable_rate_limit_ids = set()
+        self._refused_target_ids_by_event = collections.defaultdict(set)
         self._rate_report_numbers = itertools.count()
 
     def update_targets(self, *, services_by_name, targets, entry_count):
@@ -54,8 +54,8 @@
         a cold target.
         """
         target_ids = {target.target_id for target in targets}
-        self._unusable_pause_ids &= target_ids
-        self._unusable_rate_limit_ids &= target_ids
+        for refused_ids in self._refused_target_ids_by_event.values():
+            refused_ids.intersection_update(target_ids)
         targets_by_service = {name: [] for name in services_by_name}
         for target in targets:
             targets_by_service.setdefault(target.service_name, []).append(
@@ -94,16 +94,11 @@
         """
         service_dispatcher = self._dispatchers_by_service[service_name]
         notices = service_dispatcher.pool.notices
-        if (
-            head.unusable_pause is not None
-            and target.target_id not in self._unusable_pause_ids
-        ):
-            self._unusable_pause_ids.add(target.target_id)
-            logs.write_event(
+        if head.unusable_pause is not None:
+            self._report_refused_value(
                 'pause_refused',
-                level='warning',
-                target=target.target_id,
-                value=head.unusable_pause,
+                target,
+                head.unusable_pause,
                 reason='not a number of seconds',
             )
         if head.is_leaving and not notices.is_leaving(target):
@@ -121,7 +116,12 @@
         if head.pause_s is not None:
             self._record_pause(service_dispatcher, target, head.pause_s)
         if head.unusable_rate_limit is not None:
-            self._report_unusable_rate_limit(target, head.unusable_rate_limit)
+            self._report_refused_value(
+                'rate_limit_refused',
+                target,
+                head.unusable_rate_limit,
+                reason='not a number of requests per second',
+            )
         elif not head.is_misdirected:
             self._record_rate_limit(
                 service_dispatcher, target, head, asked_s=asked_s
@@ -148,16 +148,18 @@
             granted_s=end_s - now_s if end_s is not None else 0.0,
         )
 
-    def _report_unusable_rate_limit(self, target, value):
-        if target.target_id in self._unusable_rate_limit_ids:
+    def _report_refused_value(self, event_name, target, value, *, reason):
+        """Log an unusable value of an answer, once for each target."""
+        refused_ids = self._refused_target_ids_by_event[event_name]
+        if target.target_id in refused_ids:
             return
-        self._unusable_rate_limit_ids.add(target.target_id)
+        refused_ids.add(target.target_id)
         logs.write_event(
-            'rate_limit_refused',
+            event_name,
             level='warning',
             target=target.target_id,
             value=value,
-            reason='not a number of requests per second',
+            reason=reason,
         )
 
     def _record_rate_limit(self, service_dispatcher, target, head, *, asked_s):
--- a/packages/savoryyoke-gateway/tests/test_dispatching.py
+++ b/packages/savoryyoke-gateway/tests/test_dispatching.py
@@ -1,8 +1,9 @@
-"""Test that all entries together limit the requests to a cold target."""
+"""Test cold targets of several entries, and values that targets state."""
 
 import dataclasses
 import random
 import unittest
+from unittest import mock
 
 import anyio
 import prometheus_client
@@ -14,6 +15,7 @@
 
 from savoryyoke_gateway import dispatching
 from savoryyoke_gateway import metrics
+from savoryyoke_gateway import requests
 
 # The users' engines can serve 36 requests a second while they are cold. The
 # platform allows at most 1.5 times that rate and 5 further requests.
@@ -165,3 +167,52 @@
         )
         decision = anyio.run(entry.place, 's', arrival)
         self.assertIsInstance(decision, decisions.Refuse)
+
+
+class RefusedValueTests(unittest.TestCase):
+    """Test that unusable values of answers are logged once for each target."""
+
+    def setUp(self):
+        self.dispatching = dispatching.Dispatching(
+            own_data_centre='dc-a',
+            random_fraction=lambda: 0.5,
+            clock=lambda: 0.0,
+            metrics=metrics.GatewayMetrics(
+                registry=prometheus_client.CollectorRegistry()
+            ),
+        )
+        self.list_targets(TARGET)
+
+    def list_targets(self, *targets):
+        self.dispatching.update_targets(
+            services_by_name={'s': SERVICE}, targets=targets, entry_count=1
+        )
+
+    def answer(self):
+        """Return the events that an answer with two unusable values logs."""
+        head = requests.AnswerHead(
+            status=503,
+            headers=(),
+            is_refusal=True,
+            is_misdirected=False,
+            fault=None,
+            unusable_pause='soon',
+            unusable_rate_limit='few',
+        )
+        with mock.patch.object(dispatching.logs, 'write_event') as write_event:
+            self.dispatching.record_answer_head('s', TARGET, head, asked_s=0.0)
+        return [call.args[0] for call in write_event.call_args_list]
+
+    def test_each_value_is_logged_once(self):
+        self.assertEqual(
+            ['pause_refused', 'rate_limit_refused'], self.answer()
+        )
+        self.assertEqual([], self.answer())
+
+    def test_values_are_logged_again_for_a_target_that_was_removed(self):
+        self.answer()
+        self.list_targets()
+        self.list_targets(TARGET)
+        self.assertEqual(
+            ['pause_refused', 'rate_limit_refused'], self.answer()
+        )
