Hold what reached the soak's targets in one type of record

Limited arrivals were a third copy of the fields of runs and refusals, with a third branch to record them. The lists of the history say what each arrival was. The checks are unchanged; the tests of promises pass, and the mutant that ignores rate limits is caught.

--- a/packages/savoryyoke-soak/savoryyoke_soak/fleet.py
+++ b/packages/savoryyoke-soak/savoryyoke_soak/fleet.py
@@ -216,6 +216,11 @@
         target_id = f'target-{target.number}.{target.start_count}'
         upstream = []
         has_address = anyio.Event()
+        arrivals_by_word = {
+            'run': self._history.runs,
+            'busy': self._history.refusals,
+            'limited': self._history.limited_arrivals,
+        }
 
         def handle_line(line):
             word, *fields = line.split()
@@ -224,21 +229,8 @@
             elif word == 'address':
                 upstream.append((fields[0], int(fields[1])))
                 has_address.set()
-            elif word == 'run':
-                self._record(
-                    records.Run, self._history.runs, fields, target_id
-                )
-            elif word == 'busy':
-                self._record(
-                    records.Refusal, self._history.refusals, fields, target_id
-                )
-            elif word == 'limited':
-                self._record(
-                    records.LimitedArrival,
-                    self._history.limited_arrivals,
-                    fields,
-                    target_id,
-                )
+            elif word in arrivals_by_word:
+                self._record(arrivals_by_word[word], fields, target_id)
 
         target.child = children.Child(
             arguments=[
@@ -278,12 +270,12 @@
         target.child.kill()
 
     @staticmethod
-    def _record(record_class, records_so_far, fields, target_id):
+    def _record(arrivals, fields, target_id):
         """Record a request at a target, unless it is a configuration probe."""
         request_id, at_s = fields
         if not request_id.startswith('probe-'):
-            records_so_far.append(
-                record_class(
+            arrivals.append(
+                records.Arrival(
                     request_id=request_id,
                     target_id=target_id,
                     at_s=float(at_s),
--- a/packages/savoryyoke-soak/savoryyoke_soak/records.py
+++ b/packages/savoryyoke-soak/savoryyoke_soak/records.py
@@ -40,26 +40,8 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
-class Run:
-    """Hold one run of a request at a target."""
-
-    request_id: str
-    target_id: str
-    at_s: float
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Refusal:
-    """Hold one request that a busy target refused, asking for a pause."""
-
-    request_id: str
-    target_id: str
-    at_s: float
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class LimitedArrival:
-    """Hold one request that arrived while its target stated a rate limit."""
+class Arrival:
+    """Hold one request that reached a target."""
 
     request_id: str
     target_id: str
@@ -124,17 +106,18 @@
 class History:
     """Hold all observations of one run of the soak.
 
-    Times are seconds of the monotonic clock. ``unidentified`` holds the texts
-    of requests that targets ran and that have no id.
+    Times are seconds of the monotonic clock. Targets ran the requests of
+    ``runs``, refused those of ``refusals`` while they were busy, asking for a
+    pause, and stated a rate limit when those of ``limited_arrivals`` came.
+    ``unidentified`` holds the texts of requests that targets ran and that have
+    no id.
     """
 
     calls: list[Call] = dataclasses.field(default_factory=list)
-    runs: list[Run] = dataclasses.field(default_factory=list)
+    runs: list[Arrival] = dataclasses.field(default_factory=list)
     unidentified: list[str] = dataclasses.field(default_factory=list)
-    refusals: list[Refusal] = dataclasses.field(default_factory=list)
-    limited_arrivals: list[LimitedArrival] = dataclasses.field(
-        default_factory=list
-    )
+    refusals: list[Arrival] = dataclasses.field(default_factory=list)
+    limited_arrivals: list[Arrival] = dataclasses.field(default_factory=list)
     probes: list[Probe] = dataclasses.field(default_factory=list)
     troubles: list[Trouble] = dataclasses.field(default_factory=list)
     stops: list[Stop] = dataclasses.field(default_factory=list)
--- a/packages/savoryyoke-soak/tests/test_promises.py
+++ b/packages/savoryyoke-soak/tests/test_promises.py
@@ -36,7 +36,7 @@
 
 def build_run(call, *, target_id='target-1', at_s=10.1):
     """Return a run of a call."""
-    return records.Run(
+    return records.Arrival(
         request_id=call.request_id, target_id=target_id, at_s=at_s
     )
 
@@ -268,7 +268,7 @@
             )
         )
         self.history.refusals.append(
-            records.Refusal(
+            records.Arrival(
                 request_id=f'busy-{number}', target_id='target-1', at_s=at_s
             )
         )
@@ -310,7 +310,7 @@
             )
             self.history.calls.append(call)
             self.history.limited_arrivals.append(
-                records.LimitedArrival(
+                records.Arrival(
                     request_id=call.request_id,
                     target_id='target-1',
                     at_s=from_s + 0.1 * number,
