--- a/packages/savoryyoke-gateway/savoryyoke_gateway/conf.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/conf.py
@@ -108,7 +108,7 @@
 # Number of entries assumed until heartbeats show more. Each user has 8 entry
 # VMs.
 EXPECTED_ENTRY_COUNT = 8
-# Time after the start in which an entry hears all others that it can reach.
+# Time after the start within which heartbeats of all reachable entries arrive.
 ENTRIES_HEARD_AFTER_S = 3.0
 
 # Part of the grace time that is reserved for ending the process.
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/peering.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/peering.py
@@ -128,7 +128,7 @@
     def _count_known_entries(self):
         """Return the number of entries, with this one.
 
-        An entry that has just started may not hear all others yet.
+        Soon after the start, heartbeats of some entries may be missing.
         """
         if self._clock() - self._started_s < conf.ENTRIES_HEARD_AFTER_S:
             return max(self.table.max_entry_count, conf.EXPECTED_ENTRY_COUNT)
--- a/packages/savoryyoke/savoryyoke/placement/events.py
+++ b/packages/savoryyoke/savoryyoke/placement/events.py
@@ -150,7 +150,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class RateLimitsReported:
-    """Report what another entry knows about rate limits.
+    """Report the state of rate limits at another entry.
 
     ``peer_incarnation`` changes with each start of that entry.
     """
--- a/packages/savoryyoke/savoryyoke/placement/rate_limits.py
+++ b/packages/savoryyoke/savoryyoke/placement/rate_limits.py
@@ -177,8 +177,8 @@
     ``CLAIM_INTERVAL_S``, in proportion to its share of the demand. Less
     urgent requests leave some room while there are more urgent ones.
 
-    The bucket drains at the part of the limit that belongs to the entries that
-    this one hears, so that those that it does not hear can use the rest.
+    The bucket drains at the part of the limit that belongs to this entry and
+    those whose heartbeats arrive, so that the others can use the rest.
 
     ``random_fraction`` is a function that returns a random number from 0 to 1.
     """
@@ -369,7 +369,7 @@
         return conf.RATE_RESERVE_REQUESTS if has_more_urgent else 0.0
 
     def _weight(self, now_s):
-        """Return this entry's share of the demand of the entries it hears.
+        """Return this entry's share of the demand that has been reported.
 
         Entries without demand keep a small share for sudden requests.
         """
--- a/packages/savoryyoke/tests/placement/test_rate_limited_fleet.py
+++ b/packages/savoryyoke/tests/placement/test_rate_limited_fleet.py
@@ -32,9 +32,9 @@
     ``limits`` holds pairs of a time and the limits that the targets state from
     then on, None for no limit. Callers choose an entry by ``weights``; an
     empty tuple gives all the same. A part ``loss`` of the reports is lost.
-    ``silences`` holds tuples of a start, an end and the entries that the
-    others don't hear meanwhile; those don't hear anybody, either. Entries of
-    ``restarts_s`` forget everything at that time.
+    ``silences`` holds tuples of a start, an end and the entries that exchange
+    no reports with the others meanwhile. Entries of ``restarts_s`` lose all
+    state at that time.
     """
 
     limits: tuple
