Log loads of engines, copies of views, and the causes of refusals

target_published states the group and its epoch, try_ended the target that a refusal names as its cause, copy_received the size and duration of a copy, and engine_load, once a second for each busy rank, what its engine runs and queues by its own report. No decision changes.

--- a/packages/savoryyoke-agent/savoryyoke_agent/conf.py
+++ b/packages/savoryyoke-agent/savoryyoke_agent/conf.py
@@ -60,6 +60,9 @@
 MIN_REPORTED_SLOWDOWN = 1.3
 SLOWDOWN_REPORT_INTERVAL_S = 0.3
 
+# Interval between two log lines on the load of the own engine.
+LOAD_LOG_INTERVAL_S = 1.0
+
 # A leader that stops first completes the map change in progress. A change
 # takes less than 0.5 s; the platform kills a process only several seconds
 # after the signal.
--- a/packages/savoryyoke-agent/savoryyoke_agent/daemon.py
+++ b/packages/savoryyoke-agent/savoryyoke_agent/daemon.py
@@ -115,6 +115,7 @@
                 self._refresh_members,
                 self._plan,
                 self._slowdown.run,
+                self._log_load,
                 self._watch_signals,
             ):
                 tasks.start_soon(supervision.keep_running, task)
@@ -417,6 +418,22 @@
             now_s=self._clock()
         )
 
+    async def _log_load(self):
+        """Log what the own engine runs and queues while it has requests."""
+        while True:
+            await anyio.sleep(conf.LOAD_LOG_INTERVAL_S)
+            state = self._agent.state
+            if state is not None and (state.running or state.queued):
+                logs.write_event(
+                    'engine_load',
+                    rank=state.rank,
+                    epoch=state.epoch,
+                    step=state.step,
+                    running=state.running,
+                    queued=state.queued,
+                    pace=state.pace,
+                )
+
     async def _plan(self):
         while True:
             await anyio.sleep(conf.PLAN_INTERVAL_S)
--- a/packages/savoryyoke-edge/savoryyoke_edge/snapshots.py
+++ b/packages/savoryyoke-edge/savoryyoke_edge/snapshots.py
@@ -36,9 +36,11 @@
     Raise ``SnapshotUnavailable`` if none arrives within
     ``SNAPSHOT_TIMEOUT_S``.
     """
+    began_s = anyio.current_time()
     try:
         with anyio.fail_after(SNAPSHOT_TIMEOUT_S):
-            return await _fetch(host, port)
+            payload = await _fetch(host, port)
+        snapshot = fleet.decode_snapshot(payload)
     except (
         TimeoutError,
         OSError,
@@ -48,6 +50,14 @@
         raise SnapshotUnavailable(
             str(error) or type(error).__name__
         ) from error
+    logs.write_event(
+        'copy_received',
+        host=host,
+        as_of=snapshot.as_of,
+        bytes=len(payload),
+        took_s=anyio.current_time() - began_s,
+    )
+    return snapshot
 
 
 async def _fetch(host, port):
@@ -62,4 +72,4 @@
                 ) from error
             received = splitter.feed(data)
             if received:
-                return fleet.decode_snapshot(received[0])
+                return received[0]
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/calls.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/calls.py
@@ -76,7 +76,8 @@
     the answer arrived. ``last_progress_s`` is when the request was sent
     or last brought events. ``is_awaiting_data`` is true while no received data
     is left to forward. ``move`` is the placement at which a stream continues
-    that leaves its target.
+    that leaves its target. ``at_fault_target_id`` is the target that a refusal
+    names as its cause.
     """
 
     started_s: float
@@ -87,6 +88,7 @@
     last_progress_s: float | None = None
     is_awaiting_data: bool = False
     move: Move | None = None
+    at_fault_target_id: str | None = None
 
     @property
     def first_byte_s(self):
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/published_state.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/published_state.py
@@ -203,6 +203,8 @@
                     data_centre=target.data_centre,
                     draining=target.is_draining,
                     in_service=target.is_in_service,
+                    group=target.group,
+                    group_epoch=target.group_epoch,
                     release=target.release,
                     as_of=self.as_of,
                     source=source,
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/reporting.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/reporting.py
@@ -75,6 +75,7 @@
             target=target.target_id,
             result=attempt.result.value,
             reason=attempt.reason,
+            at_fault=attempt.at_fault_target_id or '',
             content=call.content_digest.hex(),
             prompt_parts=logs.join_digests(call.prompt_part_digests),
             after_s=self._clock() - attempt.started_s,
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/requests.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/requests.py
@@ -59,6 +59,8 @@
     can't be parsed. ``rate_limit_per_s`` is how many requests a second it
     takes from all entries together, None if it states no limit;
     ``unusable_rate_limit`` is the text of a limit that can't be parsed.
+    ``at_fault_target_id`` is the id of the target that the answer names as
+    the cause of a refusal, None if it names none.
     """
 
     status: int
@@ -71,6 +73,7 @@
     unusable_pause: str | None = None
     rate_limit_per_s: float | None = None
     unusable_rate_limit: str | None = None
+    at_fault_target_id: str | None = None
 
     @property
     def is_success(self):
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/tries.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/tries.py
@@ -158,6 +158,7 @@
             )
             if head.is_refusal or head.is_misdirected:
                 attempt.result = _classify_refusal(head)
+                attempt.at_fault_target_id = head.at_fault_target_id
                 return call.ledger.apply(
                     events.TargetRefused(target_id=target_id)
                 )
--- a/packages/savoryyoke/savoryyoke/groups/rollout/models.py
+++ b/packages/savoryyoke/savoryyoke/groups/rollout/models.py
@@ -12,7 +12,9 @@
     of its ranks. ``step`` is the number of the last pass that began.
     ``active``, ``prepared`` and ``armed`` are versions of maps; ``held`` is
     the pass before which the engine holds the group. ``pace`` is the ratio of
-    the engine's time for a pass to its usual time.
+    the engine's time for a pass to its usual time. ``running`` and ``queued``
+    are the numbers of requests in its slots and in its queue; they are not
+    sent to other agents.
     """
 
     group: str
@@ -26,6 +28,8 @@
     armed: int | None
     held: int | None
     pace: float = 1.0
+    running: int = 0
+    queued: int = 0
 
     @property
     def newest_version(self):
--- a/packages/savoryyoke/savoryyoke/placement/models.py
+++ b/packages/savoryyoke/savoryyoke/placement/models.py
@@ -14,7 +14,9 @@
     ``revision`` is the revision of its published value. ``release`` names the
     software version that it runs. ``slots`` is the number of requests that it
     runs at once. ``is_in_service`` is false while it can't run requests, for
-    example for a rank of an incomplete group.
+    example for a rank of an incomplete group. ``group`` names the group of
+    engines that the target belongs to, and ``group_epoch`` counts the
+    formations of that group; a target without a group has '' and 0.
     """
 
     target_id: str
@@ -29,6 +31,8 @@
     is_in_service: bool
     revision: published_models.Revision = published_models.NO_REVISION
     release: str = ''
+    group: str = ''
+    group_epoch: int = 0
 
 
 class TryResult(enum.Enum):
