Place requests whose wait is over if a target is free

Cause: a request that waits at the socket for the configuration of an entry that starts uses up its wait before it reaches the dispatcher. The dispatcher looked at the end of the wait before it looked for a target. The wait limits how long a request queues, so it matters only if no target is free.

Evidence: request_ended waited_s=0.0002 took_s=.39 to .48 targets="" beside target_chosen in_flight=0 in the same tenths of a second.

The new test test_request_whose_wait_is_over_is_placed_at_a_free_target failed before; the second one guards the refusal without a free target.

--- a/packages/savoryyoke/savoryyoke/placement/dispatcher.py
+++ b/packages/savoryyoke/savoryyoke/placement/dispatcher.py
@@ -277,26 +277,28 @@
         return waiting
 
     def _process_queue(self, now_s):
-        """Refuse requests whose wait is over and place those that fit."""
+        """Place requests that fit and refuse others whose wait is over.
+
+        A request may arrive with its wait over, if it waited for the
+        configuration before.
+        """
         decided = []
         still_waiting = []
         for waiting in self._queue:
             arrival = waiting.arrival
-            if now_s >= arrival.wait_until_s:
+            target = self._find_target(waiting, now_s, may_wait=True)
+            if target is not None:
+                decided.append(self._place(arrival.request_id, target, now_s))
+            elif now_s >= arrival.wait_until_s:
                 decided.append(
                     self._refuse_waiting(
                         waiting, _Reason.WAITED_TOO_LONG, now_s
                     )
                 )
-                continue
-            target = self._find_target(waiting, now_s, may_wait=True)
-            if target is None and self._is_paused_beyond_wait(arrival, now_s):
+            elif self._is_paused_beyond_wait(arrival, now_s):
                 decided.append(self._refuse_paused(arrival, now_s))
-                continue
-            if target is None:
+            else:
                 still_waiting.append(waiting)
-                continue
-            decided.append(self._place(arrival.request_id, target, now_s))
         self._queue = still_waiting
         return decided
 
--- a/packages/savoryyoke/tests/placement/test_dispatcher.py
+++ b/packages/savoryyoke/tests/placement/test_dispatcher.py
@@ -188,6 +188,17 @@
         self.publish(build_target(1, incarnation=2))
         self.assertEqual({'r': 't1'}, self.placed(self.arrive('r')))
 
+    def test_request_whose_wait_is_over_is_placed_at_a_free_target(self):
+        decided = self.arrive('r', now_s=1.0, wait_until_s=0.8)
+        self.assertEqual({'r'}, set(self.placed(decided)))
+
+    def test_request_whose_wait_is_over_does_not_wait(self):
+        self.fill()
+        decided = self.arrive('r', now_s=1.0, wait_until_s=0.8)
+        self.assertEqual(
+            {'r': models.RefusalReason.WAITED_TOO_LONG}, self.refused(decided)
+        )
+
     def test_repeat_avoids_tried_targets(self):
         decided = self.apply(
             events.RetryRequested(
