Let agents ask entries for the members of their group

Events took .13 to .18 s (.08 before).

Cause: the expert maps stood still from 34.2 to 40.3 while demand shifted twice (peak 2.4). Each agent fetched the whole view of the published values to learn its 62 peers, all 63 from the same first seed at once, beside the copies of 43 entries. None got it within 1.0 s (copy_failed at 36.9 and 37.0), 46 failed at the second seed as well (38.2). The leader knew its group at 38.0, the last ranks at 39.4; until 40.1 maps were requested again and again (550 times), as blocks didn't know their ranks.

Class: a decision that is right for one process and overloads what it depends on when all decide alike, as with engines that all entries chose.

Now an agent asks one entry after the other for the members alone, in a datagram of about 1 KB, starting with a random one. It reads the platform if no entry answers for 3 s. Entries answer from their decoded view, so the shape of groups is decoded with the configuration.

test_daemon's entry now accepts connections for copies and sends nothing, as one with a full link: before, test_maps_follow_demand failed so with a timeout of 20 s.

--- a/packages/savoryyoke-agent/savoryyoke_agent/conf.py
+++ b/packages/savoryyoke-agent/savoryyoke_agent/conf.py
@@ -47,6 +47,10 @@
 # missing, or while a leader receives no reports from some.
 MEMBERS_INTERVAL_S = 1.0
 
+# An agent reads the members from the platform if no entry answers for this
+# time, in which it asks about fifteen times. Entries restart within a second.
+ENTRIES_TIMEOUT_S = 3.0
+
 # An engine on the same VM answers within a few milliseconds.
 ENGINE_TIMEOUT_S = 0.3
 REMOTE_ENGINE_TIMEOUT_S = 0.5
--- a/packages/savoryyoke-agent/savoryyoke_agent/daemon.py
+++ b/packages/savoryyoke-agent/savoryyoke_agent/daemon.py
@@ -62,11 +62,6 @@
         self._last_publish_s = clock()
         self._cycle_due = anyio.Event()
         self._balancer = balancer.Balancer(clock=clock)
-        self._membership = membership.GroupMembership(
-            settings=settings,
-            member_finder=member_finder,
-            read_published_values=read_published_values,
-        )
         self._exchange = exchange.Exchange(
             host=settings.own_host,
             port=settings.peer_port,
@@ -74,6 +69,14 @@
             receive=self.receive,
             clock=clock,
         )
+        self._membership = membership.GroupMembership(
+            settings=settings,
+            send=self._exchange.send,
+            member_finder=member_finder,
+            read_published_values=read_published_values,
+            clock=clock,
+            random_source=self._random,
+        )
         self._delivery = delivery.MapDelivery(
             own_host=settings.own_host,
             exchange=self._exchange,
@@ -351,6 +354,8 @@
                 self._delivery.answer_request(message)
             case group.HeldReport():
                 self._choices.receive_rank_map(message)
+            case group.MembersReport():
+                self._receive_members(message)
 
     def _receive_directive(self, directive):
         state = self._agent.state
@@ -398,10 +403,8 @@
         while True:
             state = self._agent.state
             if state is not None and self._needs_refresh(state):
-                await self._membership.refresh(state.group)
-                members = self._membership.members
-                if members is not None:
-                    self._balancer.set_shape(members.shape)
+                await self._membership.request(state.group)
+                self._apply_members()
             has_members = self._membership.members is not None
             await anyio.sleep(
                 conf.MEMBERS_INTERVAL_S
@@ -409,6 +412,17 @@
                 else conf.REPEAT_INTERVAL_S
             )
 
+    def _receive_members(self, report):
+        state = self._agent.state
+        if state is not None and report.group == state.group:
+            self._membership.receive(report)
+            self._apply_members()
+
+    def _apply_members(self):
+        members = self._membership.members
+        if members is not None:
+            self._balancer.set_shape(members.shape)
+
     def _needs_refresh(self, state):
         """Return whether members are missing, or send no reports."""
         members = self._membership.members
--- a/packages/savoryyoke-agent/savoryyoke_agent/membership.py
+++ b/packages/savoryyoke-agent/savoryyoke_agent/membership.py
@@ -1,29 +1,47 @@
-"""Find the members of the own group in the values that entries publish."""
+"""Learn the members of the own group from the entries."""
 
 import itertools
-
-import anyio
+import random
 
 from savoryyoke_agent import conf
 
 from savoryyoke_edge import logs
-from savoryyoke_edge import snapshots
+from savoryyoke_wire import group as wire_group
 
 
 class GroupMembership:
-    """Hold the members of the own group and read them again on demand.
+    """Hold the members of the own group and ask for them again on demand.
+
+    The entries are asked in turn. An answer holds only the members: all agents
+    of a group may start at once, and whole views of the published values for
+    all of them would fill the links of the entries.
 
-    ``member_finder`` implements ``ports.MemberFinder``. ``members`` is the
-    latest ``ports.GroupMembers``, or None. ``read_published_values()`` returns
-    items by key from the platform, or None; it is called only when no entry
-    answers.
+    ``send(message, hosts, port=...)`` sends a message. ``member_finder``
+    implements ``ports.MemberFinder``. ``read_published_values()`` returns
+    items by key from the platform, or None; it is called only if no entry
+    answers. ``clock`` returns seconds. ``members`` is the latest
+    ``GroupMembers``, or None.
     """
 
-    def __init__(self, *, settings, member_finder, read_published_values):
+    def __init__(
+        self,
+        *,
+        settings,
+        send,
+        member_finder,
+        read_published_values,
+        clock,
+        random_source=None,
+    ):
         self._settings = settings
+        self._send = send
         self._member_finder = member_finder
         self._read_published_values = read_published_values
-        self._seeds = itertools.cycle(settings.seed_hosts)
+        self._clock = clock
+        seed_hosts = list(settings.seed_hosts)
+        (random_source or random.SystemRandom()).shuffle(seed_hosts)
+        self._seeds = itertools.cycle(seed_hosts)
+        self._unanswered_since_s = None
         self.members = None
 
     def other_hosts(self):
@@ -36,37 +54,44 @@
             if host != self._settings.own_host
         ]
 
-    async def refresh(self, group):
-        """Read the members of the group with this name."""
-        items_by_key = await self._read_items()
-        if items_by_key is None:
+    async def request(self, group):
+        """Ask an entry for the members of the group with this name.
+
+        Read them from the platform if no entry has answered for
+        ``ENTRIES_TIMEOUT_S``.
+        """
+        now_s = self._clock()
+        if self._unanswered_since_s is None:
+            self._unanswered_since_s = now_s
+        if now_s - self._unanswered_since_s < conf.ENTRIES_TIMEOUT_S:
+            await self._send(
+                wire_group.MembersRequest(group=group),
+                list(itertools.islice(self._seeds, 1)),
+                port=self._settings.pace_port,
+            )
             return
-        found = self._member_finder.find(items_by_key, group)
-        if found is not None and found != self.members:
-            self.members = found
-            logs.write_event(
-                'members_known',
-                group=group,
-                ranks=len(found.hosts_by_rank),
-                hosts=','.join(found.hosts_by_rank.values()),
+        self._unanswered_since_s = None
+        items_by_key = await self._read_published_values()
+        if items_by_key is not None:
+            self._store(
+                group,
+                self._member_finder.find(items_by_key, group),
+                source='platform',
             )
 
-    async def _read_items(self):
-        """Return items by key from an entry or else the platform, or None."""
-        for _ in self._settings.seed_hosts:
-            host = next(self._seeds)
-            try:
-                snapshot = await snapshots.fetch_snapshot(
-                    host, self._settings.peer_port
-                )
-            except snapshots.SnapshotUnavailable as error:
-                logs.write_event(
-                    'copy_failed',
-                    level='warning',
-                    host=host,
-                    reason=str(error),
-                )
-                await anyio.sleep(conf.REPEAT_INTERVAL_S)
-                continue
-            return {item.key: item for item in snapshot.items}
-        return await self._read_published_values()
+    def receive(self, report):
+        """Store the members in a ``MembersReport`` of an entry."""
+        self._unanswered_since_s = None
+        self._store(report.group, report.members, source='entry')
+
+    def _store(self, group, found, *, source):
+        if found is None or found == self.members:
+            return
+        self.members = found
+        logs.write_event(
+            'members_known',
+            group=group,
+            ranks=len(found.hosts_by_rank),
+            hosts=','.join(found.hosts_by_rank.values()),
+            source=source,
+        )
--- a/packages/savoryyoke-agent/savoryyoke_agent/ports.py
+++ b/packages/savoryyoke-agent/savoryyoke_agent/ports.py
@@ -25,30 +25,6 @@
     link_bytes_per_s: float
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class GroupShape:
-    """Hold the number of a group's experts and of the slots for them.
-
-    The group has ``sets`` sets of ``experts`` experts each. A rank can hold
-    ``slots`` experts of a set, and copy ``max_copies_per_rank`` of them in a
-    map change. It takes ``copy_s`` seconds to copy one.
-    """
-
-    sets: int
-    experts: int
-    slots: int
-    max_copies_per_rank: int
-    copy_s: float = 0.0
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class GroupMembers:
-    """Hold the shape of a group and the hosts of its ranks, by rank."""
-
-    shape: GroupShape
-    hosts_by_rank: dict[int, str]
-
-
 class Engine(typing.Protocol):
     """Call the engine of the own rank or, with ``host``, of another one."""
 
--- a/packages/savoryyoke-agent/tests/support.py
+++ b/packages/savoryyoke-agent/tests/support.py
@@ -6,17 +6,16 @@
 from savoryyoke.groups.rollout import decisions
 from savoryyoke.groups.rollout import events
 from savoryyoke.groups.rollout import models
-from savoryyoke.published import models as published_models
-
 from savoryyoke_agent import daemon
 from savoryyoke_agent import ports
-from savoryyoke_edge import snapshots
 from savoryyoke_fakes.deployment import sockets
+from savoryyoke_wire import group as wire_group
 
 PASS_S = 0.04
 TIMEOUT_S = 20.0
-SHAPE = ports.GroupShape(sets=1, experts=6, slots=4, max_copies_per_rank=2)
+SHAPE = models.GroupShape(sets=1, experts=6, slots=4, max_copies_per_rank=2)
 RANKS = 3
+ENTRY_HOST = '127.0.1.1'
 
 
 class Group:
@@ -155,20 +154,12 @@
         return self._rank if host is None else int(host[-1]) - 2
 
 
-class MemberFinder:
-    """Implement ``ports.MemberFinder`` for a single group."""
-
-    def __init__(self, *, ranks):
-        self._ranks = ranks
-
-    def find(self, items_by_key, group):
-        """Return the members of the group, whatever its name."""
-        return ports.GroupMembers(
-            shape=SHAPE,
-            hosts_by_rank={
-                rank: make_host(rank) for rank in range(self._ranks)
-            },
-        )
+def build_members(ranks):
+    """Return the members of a group of this size."""
+    return models.GroupMembers(
+        shape=SHAPE,
+        hosts_by_rank={rank: make_host(rank) for rank in range(ranks)},
+    )
 
 
 def make_host(rank):
@@ -178,26 +169,43 @@
 
 def find_port():
     """Return a port that is free on loopback."""
-    (port,) = sockets.find_ports('127.0.1.1', 1)
+    (port,) = sockets.find_ports(ENTRY_HOST, 1)
     return port
 
 
-async def serve_copies(port):
-    """Serve published values without items, as an entry does."""
+async def stall_copies(port):
+    """Accept connections for copies of published values and send nothing.
+
+    So does an entry whose link is full.
+    """
     listener = await anyio.create_tcp_listener(
-        local_host='127.0.1.1', local_port=port
-    )
-    empty = published_models.Snapshot(
-        as_of=published_models.Revision(number=1), items=()
+        local_host=ENTRY_HOST, local_port=port
     )
 
     async def handle(stream):
-        await snapshots.send_snapshot(stream, empty)
+        async with stream:
+            await anyio.sleep_forever()
 
     async with listener:
         await listener.serve(handle)
 
 
+async def serve_members(port, *, ranks):
+    """Answer agents that ask for the members of their group, as entries do."""
+    async with await anyio.create_udp_socket(
+        local_host=ENTRY_HOST, local_port=port
+    ) as udp_socket:
+        async for datagram, (host, sender_port) in udp_socket:
+            message = wire_group.decode(datagram)
+            if isinstance(message, wire_group.MembersRequest):
+                report = wire_group.MembersReport(
+                    group=message.group, members=build_members(ranks)
+                )
+                await udp_socket.sendto(
+                    wire_group.encode(report), host, sender_port
+                )
+
+
 def build_daemon(*, group, rank, port):
     """Return the daemon of a rank."""
 
@@ -212,10 +220,10 @@
             peer_port=port,
             pace_port=port,
             own_address=f'{make_host(rank)}:80',
-            seed_hosts=('127.0.1.1',),
+            seed_hosts=(ENTRY_HOST,),
             link_bytes_per_s=500_000,
         ),
         engine=Engine(group=group, rank=rank),
-        member_finder=MemberFinder(ranks=group.ranks),
+        member_finder=None,
         read_published_values=read_published_values,
     )
--- a/packages/savoryyoke-agent/tests/test_daemon.py
+++ b/packages/savoryyoke-agent/tests/test_daemon.py
@@ -1,5 +1,6 @@
 """Test the agents of a group with real datagrams."""
 
+import functools
 import unittest
 from unittest import mock
 
@@ -44,7 +45,10 @@
                     tasks.start_soon(run, rank)
 
                 tasks.start_soon(group.run)
-                tasks.start_soon(support.serve_copies, port)
+                tasks.start_soon(support.stall_copies, port)
+                tasks.start_soon(
+                    functools.partial(support.serve_members, port, ranks=ranks)
+                )
                 for rank in range(ranks):
                     start(rank)
                 await scenario(group, scopes, start)
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/peering.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/peering.py
@@ -65,6 +65,7 @@
         self._started_s = clock()
         self._incarnation = int(random_fraction() * 2**63)
         self._sequence = itertools.count(1)
+        self._message_ids = itertools.count(int(clock() * 1000))
         self._live_peer_ids = set()
         self._slow_targets = slow_targets.SlowTargets()
         self._pacing = pacing.HeartbeatPacing()
@@ -94,7 +95,7 @@
         """Exchange heartbeats and copies until cancelled."""
         async with anyio.create_task_group() as group:
             group.start_soon(self._exchange_heartbeats)
-            group.start_soon(self._receive_paces)
+            group.start_soon(self._serve_agents)
             group.start_soon(self.copies.run)
 
     async def announce(self):
@@ -306,14 +307,14 @@
                 peers=len(self._live_peer_ids),
             )
 
-    async def _receive_paces(self):
-        """Receive pace reports from the VMs of slow targets."""
+    async def _serve_agents(self):
+        """Receive pace reports and answer questions of the ranks' agents."""
         async with await anyio.create_udp_socket(
             family=socket.AF_INET,
             local_host=self._settings.peer_host,
             local_port=self._settings.pace_port,
-        ) as pace_socket:
-            async for datagram, (host, _) in pace_socket:
+        ) as agents_socket:
+            async for datagram, (host, port) in agents_socket:
                 try:
                     message = wire_group.decode(datagram)
                 except wire_exceptions.WireError as error:
@@ -324,10 +325,35 @@
                         reason=str(error),
                     )
                     continue
-                if isinstance(message, wire_group.PaceReport):
-                    self._slow_targets.record(
-                        message.address, message.pace, now_s=self._clock()
-                    )
+                match message:
+                    case wire_group.PaceReport():
+                        self._slow_targets.record(
+                            message.address, message.pace, now_s=self._clock()
+                        )
+                    case wire_group.MembersRequest():
+                        await self._send_members(
+                            agents_socket, message.group, host, port
+                        )
+
+    async def _send_members(self, agents_socket, group, host, port):
+        """Send the members of a group, if any are known."""
+        members = self._published_state.find_group_members(group)
+        if members is None:
+            return
+        report = wire_group.MembersReport(group=group, members=members)
+        try:
+            for datagram in wire_group.encode_datagrams(
+                report, message_id=next(self._message_ids)
+            ):
+                await agents_socket.sendto(datagram, host, port)
+        except (OSError, wire_exceptions.LimitExceeded) as error:
+            logs.write_event(
+                'members_not_sent',
+                level='warning',
+                group=group,
+                host=host,
+                reason=str(error),
+            )
 
     def _publish_paces(self):
         self._dispatching.set_paces(
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/published_state.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/published_state.py
@@ -4,6 +4,7 @@
 
 import anyio
 
+from savoryyoke.groups.rollout import models as rollout_models
 from savoryyoke.placement import addresses
 from savoryyoke.published import holds
 from savoryyoke.published import models
@@ -79,6 +80,30 @@
         """Return a snapshot of the whole view, for a peer."""
         return self._view.take_snapshot(now_s=self._clock())
 
+    def find_group_members(self, group):
+        """Return the published ``GroupMembers`` of a group, or None."""
+        members = [
+            target
+            for target in self.publication.targets
+            if target.group == group
+        ]
+        if not members or self.catalogue is None:
+            return None
+        service = self.catalogue.services_by_name.get(members[0].service_name)
+        if service is None or service.group_shape is None:
+            return None
+        return rollout_models.GroupMembers(
+            shape=service.group_shape,
+            hosts_by_rank={
+                target.group_rank: target.host
+                # A rank that has started anew may be listed twice.
+                for target in sorted(
+                    members,
+                    key=lambda member: (member.group_rank, member.incarnation),
+                )
+            },
+        )
+
     def apply(self, reading, *, source, after_outage=False):
         """Apply a reading, which is a ``Snapshot`` or ``Changes``.
 
--- a/packages/savoryyoke-wire/savoryyoke_wire/group.capnp
+++ b/packages/savoryyoke-wire/savoryyoke_wire/group.capnp
@@ -1,5 +1,5 @@
 @0xa8f3c6d1925be047;
-# Messages between the agents of a group's ranks, and from them to entries.
+# Messages between the agents of a group's ranks, and between them and entries.
 
 struct Rank {
   experts @0 :List(UInt16);
@@ -105,6 +105,22 @@
   pace @1 :Float32;
 }
 
+struct MembersRequest {
+  group @0 :Text;
+}
+
+# The published ranks of a group, and their hosts in the same order.
+struct Members {
+  group @0 :Text;
+  sets @1 :UInt32;
+  experts @2 :UInt32;
+  slots @3 :UInt32;
+  maxCopiesPerRank @4 :UInt32;
+  copyS @5 :Float64;
+  ranks @6 :List(UInt32);
+  hosts @7 :List(Text);
+}
+
 struct Message {
   version @0 :UInt16;
   union {
@@ -117,5 +133,7 @@
     mapRequest @7 :MapRequest;
     part @8 :Part;
     mapChange @9 :MapChange;
+    membersRequest @10 :MembersRequest;
+    members @11 :Members;
   }
 }
--- a/packages/savoryyoke-wire/savoryyoke_wire/group.py
+++ b/packages/savoryyoke-wire/savoryyoke_wire/group.py
@@ -77,6 +77,21 @@
     pace: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class MembersRequest:
+    """Request the members of a group from an entry."""
+
+    group: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class MembersReport:
+    """Report the members of a group that are published."""
+
+    group: str
+    members: models.GroupMembers
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class MessagePart:
     """Carry part ``number`` of a message that needs several datagrams.
@@ -221,6 +236,28 @@
     return _pack(envelope)
 
 
+@encode.register
+def _(message: MembersRequest):
+    envelope, body = _build_envelope('membersRequest')
+    body.group = message.group
+    return _pack(envelope)
+
+
+@encode.register
+def _(message: MembersReport):
+    envelope, body = _build_envelope('members')
+    shape = message.members.shape
+    body.group = message.group
+    body.sets = shape.sets
+    body.experts = shape.experts
+    body.slots = shape.slots
+    body.maxCopiesPerRank = shape.max_copies_per_rank
+    body.copyS = shape.copy_s
+    body.ranks = list(message.members.hosts_by_rank)
+    body.hosts = list(message.members.hosts_by_rank.values())
+    return _pack(envelope)
+
+
 @encode.register
 def _(message: MessagePart):
     envelope, body = _build_envelope('part')
@@ -436,6 +473,27 @@
     return PaceReport(address=envelope.pace.address, pace=envelope.pace.pace)
 
 
+def _read_members_request(envelope):
+    return MembersRequest(group=envelope.membersRequest.group)
+
+
+def _read_members(envelope):
+    body = envelope.members
+    return MembersReport(
+        group=body.group,
+        members=models.GroupMembers(
+            shape=models.GroupShape(
+                sets=body.sets,
+                experts=body.experts,
+                slots=body.slots,
+                max_copies_per_rank=body.maxCopiesPerRank,
+                copy_s=body.copyS,
+            ),
+            hosts_by_rank=dict(zip(body.ranks, body.hosts, strict=True)),
+        ),
+    )
+
+
 _READERS_BY_MEMBER = {
     'pace': _read_pace,
     'directive': _read_directive,
@@ -446,6 +504,8 @@
     'mapRequest': _read_map_request,
     'held': _read_held,
     'part': _read_part,
+    'membersRequest': _read_members_request,
+    'members': _read_members,
 }
 
 
--- a/packages/savoryyoke-wire/tests/test_group.py
+++ b/packages/savoryyoke-wire/tests/test_group.py
@@ -45,6 +45,25 @@
             build_directive(phase=models.Phase.PREPARE, version=70000)
         )
 
+    def test_members(self):
+        self.assert_fits_datagram(group.MembersRequest(group='g'))
+        shape = models.GroupShape(
+            sets=8, experts=252, slots=5, max_copies_per_rank=2, copy_s=0.02
+        )
+        for ranks in (0, 63, 129):
+            self.assert_fits_datagram(
+                group.MembersReport(
+                    group='g',
+                    members=models.GroupMembers(
+                        shape=shape,
+                        hosts_by_rank={
+                            rank: f'10.1.{rank}.{rank}'
+                            for rank in range(ranks)
+                        },
+                    ),
+                )
+            )
+
     def test_reports(self):
         state = models.EngineState(
             group='g',
--- a/packages/savoryyoke/savoryyoke/catalogue/models.py
+++ b/packages/savoryyoke/savoryyoke/catalogue/models.py
@@ -3,6 +3,8 @@
 import dataclasses
 import enum
 
+from savoryyoke.groups.rollout import models as rollout_models
+
 
 class RequestKind(enum.Enum):
     """Define whether a request may run again and how it is answered."""
@@ -66,12 +68,14 @@
     """Describe the targets of a service.
 
     ``slots`` is the number of batch slots of each target, or None if each
-    target reports its own.
+    target reports its own. ``group_shape`` describes the groups that its
+    targets form; it is None if they form none.
     """
 
     name: str
     slots: int | None
     cold_limit: ColdLimit | None
+    group_shape: rollout_models.GroupShape | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/savoryyoke/savoryyoke/groups/rollout/models.py
+++ b/packages/savoryyoke/savoryyoke/groups/rollout/models.py
@@ -64,6 +64,30 @@
     may_be_armed: bool = True
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class GroupShape:
+    """Hold the number of a group's experts and of the slots for them.
+
+    The group has ``sets`` sets of ``experts`` experts each. A rank can hold
+    ``slots`` experts of a set, and copy ``max_copies_per_rank`` of them in a
+    map change. It takes ``copy_s`` seconds to copy one.
+    """
+
+    sets: int
+    experts: int
+    slots: int
+    max_copies_per_rank: int
+    copy_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class GroupMembers:
+    """Hold the shape of a group and the hosts of its ranks, by rank."""
+
+    shape: GroupShape
+    hosts_by_rank: dict[int, str]
+
+
 class Phase(enum.Enum):
     """List the phases of a map change."""
 
--- a/packages/savoryyoke/savoryyoke/placement/models.py
+++ b/packages/savoryyoke/savoryyoke/placement/models.py
@@ -15,8 +15,9 @@
     software version that it runs. ``slots`` is the number of requests that it
     runs at once. ``is_in_service`` is false while it can't run requests, for
     example for a rank of an incomplete group. ``group`` names the group of
-    engines that the target belongs to, and ``group_epoch`` counts the
-    formations of that group; a target without a group has '' and 0.
+    engines that the target belongs to, as the rank ``group_rank``, and
+    ``group_epoch`` counts the formations of that group; a target without a
+    group has '' and 0.
     """
 
     target_id: str
@@ -33,6 +34,7 @@
     release: str = ''
     group: str = ''
     group_epoch: int = 0
+    group_rank: int = 0
 
 
 class TryResult(enum.Enum):
