Judge whether engines are in service by their group

Cause: a group can't serve once one rank is lost, but entries judged each rank by itself. From 29.3 on, 28 entries knew 42 ranks to be out of service and sent all requests to the 21 that were cut off from the platform and still listed as in service: 445 connections that timed out after .35 s. The 16 entries that were cut off themselves read nothing and got 476 answers "not run, because of another rank".

Class: a shared state that is read from each of its parts.

Now a rank is in service if no rank of its group's newest epoch is published as broken. A refusal that names another rank as its cause shows an outage, too; one request in 0.5 s then finds out whether it is over, as does an answer or a newer epoch. A rank whose group is in an unknown state is no target, as for other odd entries.

--- a/packages/savoryyoke-gateway/savoryyoke_gateway/dispatching.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/dispatching.py
@@ -89,8 +89,9 @@
         """Apply the notices in the head of a target's answer.
 
         A target can state there that it is leaving, for how many seconds it
-        must get no requests, or how many requests per second it takes. The
-        request was sent at ``asked_s``.
+        must get no requests, how many requests per second it takes, or that
+        another rank of its group keeps it from serving. The request was sent
+        at ``asked_s``.
         """
         service_dispatcher = self._dispatchers_by_service[service_name]
         notices = service_dispatcher.pool.notices
@@ -115,6 +116,7 @@
             )
         if head.pause_s is not None:
             self._record_pause(service_dispatcher, target, head.pause_s)
+        self._record_group_state(service_dispatcher, target, head)
         if head.unusable_rate_limit is not None:
             self._report_refused_value(
                 'rate_limit_refused',
@@ -127,6 +129,30 @@
                 service_dispatcher, target, head, asked_s=asked_s
             )
 
+    def _record_group_state(self, service_dispatcher, target, head):
+        """Apply what an answer tells of the group of its target."""
+        groups = service_dispatcher.pool.groups
+        had_refused = groups.refuses(target)
+        if head.is_refusal and head.at_fault_target_id not in (
+            None,
+            target.target_id,
+        ):
+            event = events.GroupRefused(target=target)
+        elif head.is_success and had_refused:
+            event = events.GroupAnswered(target=target)
+        else:
+            return
+        self._apply(service_dispatcher, event)
+        if groups.refuses(target) != had_refused:
+            logs.write_event(
+                'group_answered' if had_refused else 'group_refused',
+                group=target.group,
+                group_epoch=target.group_epoch,
+                service=target.service_name,
+                target=target.target_id,
+                at_fault=head.at_fault_target_id or '',
+            )
+
     def _record_pause(self, service_dispatcher, target, pause_s):
         notices = service_dispatcher.pool.notices
         now_s = self._clock()
--- a/packages/savoryyoke-gateway/tests/test_group_outages.py
+++ b/packages/savoryyoke-gateway/tests/test_group_outages.py
@@ -48,7 +48,7 @@
 
 
 class AnsweredOutageTests(unittest.TestCase):
-    """Test entries that can't read from the platform that a group is broken."""
+    """Test entries that can't read from the platform that a group broke."""
 
     def setUp(self):
         self.now_s = 10.0
--- a/packages/savoryyoke/savoryyoke/placement/conf.py
+++ b/packages/savoryyoke/savoryyoke/placement/conf.py
@@ -18,6 +18,11 @@
 # has the right address.
 MISDIRECTED_AVOIDANCE_S = 2.0
 
+# An entry that learns from a refusal that a group is out of service sends it
+# one request in this time until one is answered. A group is out of service for
+# two to five seconds.
+GROUP_RETRY_INTERVAL_S = 0.5
+
 # A target may request a pause of any length. Replacing its VM takes less than
 # five minutes, so a longer pause is treated as a fault and cut to this.
 PAUSE_MAX_S = 300.0
--- a/packages/savoryyoke/savoryyoke/placement/dispatcher.py
+++ b/packages/savoryyoke/savoryyoke/placement/dispatcher.py
@@ -109,6 +109,16 @@
         )
         return self._process_queue(now_s)
 
+    @_apply.register
+    def _(self, event: events.GroupRefused, now_s):
+        self._pool.groups.record_refusal(event.target, now_s=now_s)
+        return ()
+
+    @_apply.register
+    def _(self, event: events.GroupAnswered, now_s):
+        self._pool.groups.record_answer(event.target)
+        return self._process_queue(now_s)
+
     @_apply.register
     def _(self, event: events.RateLimitAnswered, now_s):
         self._pool.rate_limits.record_answer(
@@ -165,7 +175,9 @@
     @_apply.register
     def _(self, event: events.RequestArrived, now_s):
         if not self._pool.has_usable_target(
-            regions=event.regions, withheld_releases=event.withheld_releases
+            now_s=now_s,
+            regions=event.regions,
+            withheld_releases=event.withheld_releases,
         ):
             return self._handle_no_service(event, now_s)
         waiting = self._enqueue(event)
--- a/packages/savoryyoke/savoryyoke/placement/events.py
+++ b/packages/savoryyoke/savoryyoke/placement/events.py
@@ -134,6 +134,20 @@
     pause_s: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class GroupRefused:
+    """Report that a target refused a request because of another rank."""
+
+    target: models.Target
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class GroupAnswered:
+    """Report that a target serves although its group was out of service."""
+
+    target: models.Target
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class RateLimitAnswered:
     """Report the rate limit that a target stated in an answer.
--- a/packages/savoryyoke/savoryyoke/placement/pool.py
+++ b/packages/savoryyoke/savoryyoke/placement/pool.py
@@ -6,6 +6,7 @@
 import math
 
 from savoryyoke.placement import conf
+from savoryyoke.placement import groups
 from savoryyoke.placement import health
 from savoryyoke.placement import notices
 from savoryyoke.placement import rate_limits
@@ -95,6 +96,7 @@
         self._peer_requests_by_target = collections.Counter()
         self._unseen = unseen.UnseenPlacements()
         self._claim_limit = unseen.ClaimLimit(random_fraction=random_fraction)
+        self.groups = groups.GroupStates()
         self.notices = notices.TargetNotices()
         self.rate_limits = rate_limits.RateLimits(
             random_fraction=random_fraction
@@ -127,6 +129,7 @@
             state.target = target
             states_by_id[target.target_id] = state
         self._states_by_id = states_by_id
+        self.groups.replace_targets(targets)
 
     def set_peer_requests(self, peer_id, requests_by_target_id, *, now_s):
         """Set the number of requests that a peer has in flight."""
@@ -177,6 +180,7 @@
         state.own_in_flight += 1
         state.freed_s = -math.inf
         state.cold_rate.record_sent(now_s)
+        self.groups.record_sent(state.target, now_s=now_s)
         self.rate_limits.record_sent(state.target, now_s=now_s)
         self._unseen.record_placement(now_s=now_s)
 
@@ -199,11 +203,11 @@
         return frozenset(state.target.release for state in self._all_states())
 
     def has_usable_target(
-        self, *, regions=frozenset(), withheld_releases=frozenset()
+        self, *, now_s, regions=frozenset(), withheld_releases=frozenset()
     ):
         """Return whether a target is in service, full or not."""
         return any(
-            self._is_usable(state, regions, withheld_releases)
+            self._is_usable(state, regions, withheld_releases, now_s)
             for state in self._all_states()
         )
 
@@ -227,7 +231,7 @@
         ends_s = [
             self.notices.pause_end_s(state.target, now_s=now_s)
             for state in self._all_states()
-            if self._is_usable(state, regions, withheld_releases)
+            if self._is_usable(state, regions, withheld_releases, now_s)
         ]
         if not ends_s or None in ends_s:
             return None
@@ -262,7 +266,9 @@
         unlimited_in_flight = 0
         usable_count = limited_count = 0
         for state in self._all_states():
-            is_usable = self._is_usable(state, regions, withheld_releases)
+            is_usable = self._is_usable(
+                state, regions, withheld_releases, now_s
+            )
             usable_count += is_usable
             if self.rate_limits.limit_per_s(state.target) is None:
                 unlimited_in_flight += state.own_in_flight
@@ -298,7 +304,7 @@
             state
             for state in self._all_states()
             if state.target.target_id not in excluded
-            and self._is_usable(state, regions, withheld_releases)
+            and self._is_usable(state, regions, withheld_releases, now_s)
             and self._has_capacity(state, priority, now_s)
         ]
         if not candidates:
@@ -358,10 +364,10 @@
     def _is_leaving(self, target):
         return target.is_draining or self.notices.is_leaving(target)
 
-    def _is_usable(self, state, regions, withheld_releases):
+    def _is_usable(self, state, regions, withheld_releases, now_s):
         target = state.target
         return (
-            target.is_in_service
+            self.groups.is_in_service(target, now_s=now_s)
             and not self._is_leaving(target)
             and (not regions or target.region in regions)
             and target.release not in withheld_releases
