Tell callers refused after tries to return after an outage

Cause: only refusals without a try looked at whether a target is in service. The retry time of the others is now chosen in the same way.

The new test test_callers_refused_after_a_try_return_after_the_outage guards it; such times were at most RETRY_AFTER_MAX_S before.

--- a/packages/savoryyoke-gateway/savoryyoke_gateway/dispatching.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/dispatching.py
@@ -374,6 +374,32 @@
         retry_decisions = service_dispatcher.apply(event, now_s=self._clock())
         return retry_decisions[0]
 
+    def choose_retry_after_s(
+        self,
+        service_name,
+        *,
+        time_left_s,
+        regions=frozenset(),
+        withheld_releases=frozenset(),
+    ):
+        """Return when a caller that no target has served should retry.
+
+        While no target is in service, the time allows for the outage.
+        """
+        service_dispatcher = self._dispatchers_by_service.get(service_name)
+        choose_retry_after_s = retry_times.choose_retry_after_s
+        if service_dispatcher is not None and not (
+            service_dispatcher.pool.has_usable_target(
+                now_s=self._clock(),
+                regions=regions,
+                withheld_releases=withheld_releases,
+            )
+        ):
+            choose_retry_after_s = retry_times.choose_outage_retry_after_s
+        return choose_retry_after_s(
+            time_left_s=time_left_s, random_fraction=self._random_fraction
+        )
+
     def record_try_end(self, service_name, event):
         """Apply the ``TryEnded`` event of a try at a target."""
         self._apply(self._dispatchers_by_service[service_name], event)
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/forwarder.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/forwarder.py
@@ -452,8 +452,13 @@
                 retry_after_s=call.retry_after_s
             )
         time_left_s = call.request.time_left_s or call.route.timeout_s
-        return self._build_refusal_headers(
-            time_left_s - (self._clock() - call.arrived_s)
+        return self._translator.write_refusal(
+            retry_after_s=self._dispatching.choose_retry_after_s(
+                call.service_name,
+                time_left_s=time_left_s - (self._clock() - call.arrived_s),
+                regions=call.regions,
+                withheld_releases=call.withheld_releases,
+            )
         )
 
     def _build_refusal_headers(self, time_left_s):
--- a/packages/savoryyoke-gateway/tests/test_group_outages.py
+++ b/packages/savoryyoke-gateway/tests/test_group_outages.py
@@ -8,6 +8,7 @@
 import prometheus_client
 
 from savoryyoke.catalogue import models as catalogue_models
+from savoryyoke.placement import conf
 from savoryyoke.placement import decisions
 from savoryyoke.placement import events
 from savoryyoke.placement import models
@@ -107,6 +108,20 @@
         self.answer(SUCCESS, rank=1)
         self.assert_in_service()
 
+    def test_callers_refused_after_a_try_return_after_the_outage(self):
+        self.answer(REFUSAL, rank=0, at_fault='t2')
+        self.assertGreater(
+            self.dispatching.choose_retry_after_s('s', time_left_s=8.0),
+            conf.RETRY_AFTER_MAX_S,
+        )
+
+    def test_callers_refused_by_a_full_rank_return_soon(self):
+        self.answer(REFUSAL, rank=0, at_fault='t0')
+        self.assertLessEqual(
+            self.dispatching.choose_retry_after_s('s', time_left_s=8.0),
+            conf.RETRY_AFTER_MAX_S,
+        )
+
     def test_new_epoch_ends_the_outage(self):
         self.answer(REFUSAL, rank=0, at_fault='t2')
         self.publish(*RANKS[:2], dataclasses.replace(RANKS[2], group_epoch=2))
