Let callers return later and wait longer in outages

What callers saw: of 100 callers whose requests arrive evenly during an outage of 5 s, 35 were refused twice and lost (model of test_dispatcher.OutageTests, 20 arrivals a second); one-way cuts and crashed ranks keep a group out of service for two to five seconds.

Cause: a refused caller returns once, after 0.7 to 1.0 of the longest time that it honours (a third of its time left), and then waits 1.1 s, although it would stay for 2 s and get its first event within 0.4 s. So a caller with 8 s was covered for 3.0 to 3.8 s of an outage.

Change: retry times of 0.9 to 1.0 of the longest, and 1.5 s of waiting for streams of returning callers, as entries that have just started allowed already. Ruled out: waiting at the first try, too (an earlier model: no gain for 5 s, and callers would be refused late); 0.95, as callers that a breaking group refuses together would return together.

test_returning_caller_waits_for_a_group_that_forms and test_all_callers_are_served_as_long_as_they_honour_retry_times fail with the former times.

--- a/packages/savoryyoke-gateway/savoryyoke_gateway/conf.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/conf.py
@@ -85,9 +85,10 @@
 # service, even if they are on time. A group is formed within 0.6 s of the
 # start of its last rank.
 START_OUTAGE_HOLD_S = 3.0
-# Time that a stream waits then. Its first event takes up to 0.4 s, and callers
-# abandon a stream without one after 2 s.
-START_OUTAGE_WAIT_S = 1.5
+
+# Limit on the wait of a stream for a group that is out of service. Its first
+# event takes up to 0.4 s, and callers abandon a stream without one after 2 s.
+OUTAGE_WAIT_S = 1.5
 
 # Number of peers that an entry asks after the platform was restored from an
 # older copy, for what it may have missed itself.
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/forwarder.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/forwarder.py
@@ -286,7 +286,9 @@
             is_on_time=is_on_time,
             priority=self._find_priority(call),
             wait_until_s=self._choose_wait_end_s(call, is_on_time),
-            outage_wait_until_s=self._choose_outage_wait_end_s(call),
+            outage_wait_until_s=self._choose_outage_wait_end_s(
+                call, is_on_time
+            ),
             time_left_s=max(call.deadline_s - now_s, 0.0),
             regions=call.regions,
             withheld_releases=call.withheld_releases,
@@ -295,19 +297,21 @@
         call.waited_s = self._clock() - now_s
         return placement
 
-    def _choose_outage_wait_end_s(self, call):
+    def _choose_outage_wait_end_s(self, call, is_on_time):
         """Return until when a request waits while no target is in service.
 
-        Return None to have it refused at once if it is on time. An entry that
-        has just started can't tell which callers have spent their tries on
-        VMs that are down, and targets often start with it.
+        Return None to have it refused at once, because its caller is expected
+        to retry. An entry that has just started can't tell which callers have
+        spent their tries on VMs that are down, and targets often start with
+        it.
         """
-        if self._clock() - self._started_s > conf.START_OUTAGE_HOLD_S:
+        has_just_started = (
+            self._clock() - self._started_s <= conf.START_OUTAGE_HOLD_S
+        )
+        if is_on_time and not has_just_started:
             return None
         if call.is_stream:
-            return min(
-                call.arrived_s + conf.START_OUTAGE_WAIT_S, call.deadline_s
-            )
+            return min(call.arrived_s + conf.OUTAGE_WAIT_S, call.deadline_s)
         return self._choose_wait_end_s(call, is_on_time=False)
 
     def _choose_wait_end_s(self, call, is_on_time):
--- a/packages/savoryyoke/savoryyoke/placement/conf.py
+++ b/packages/savoryyoke/savoryyoke/placement/conf.py
@@ -126,8 +126,9 @@
 RETRY_AFTER_MAX_S = 1.5
 
 # A group of engines that has lost a rank is out of service for two to five
-# seconds, so its callers get later retry times, up to 3 s.
-OUTAGE_RETRY_AFTER_MIN_SHARE = 0.7
+# seconds, so its callers get retry times up to 3 s, close to the longest that
+# they honour: most of them retry only once.
+OUTAGE_RETRY_AFTER_MIN_SHARE = 0.9
 OUTAGE_RETRY_AFTER_MAX_S = 3.0
 
 # All engines of a group run each step together, at the speed of the slowest
--- a/packages/savoryyoke/tests/placement/test_dispatcher.py
+++ b/packages/savoryyoke/tests/placement/test_dispatcher.py
@@ -388,6 +388,9 @@
     DEADLINE_S = 8.0
     ARRIVALS_PER_S = 4.0
     RUN_S = 0.4
+    # Callers abandon a stream without an event after 2 s; the first one takes
+    # up to 0.4 s.
+    OUTAGE_WAIT_S = 1.5
 
     def simulate(self, outage_s, *, seconds=16.0):
         """Return the number of callers served and the number of callers.
@@ -426,6 +429,9 @@
                     now_s,
                     is_on_time=is_first,
                     wait_until_s=now_s + (0.2 if is_first else 1.1),
+                    outage_wait_until_s=(
+                        None if is_first else now_s + self.OUTAGE_WAIT_S
+                    ),
                     time_left_s=self.DEADLINE_S,
                 )
             for decision in decided:
@@ -445,6 +451,17 @@
         served, callers = self.simulate(3.0)
         self.assertEqual(callers, served)
 
+    def test_all_callers_are_served_as_long_as_they_honour_retry_times(self):
+        honoured_s = (
+            self.DEADLINE_S
+            * conf.RETRY_AFTER_MAX_SHARE
+            * conf.OUTAGE_RETRY_AFTER_MIN_SHARE
+        )
+        for outage_s in (3.5, 3.8):
+            self.assertLess(outage_s, honoured_s + self.OUTAGE_WAIT_S)
+            served, callers = self.simulate(outage_s)
+            self.assertEqual(callers, served)
+
 
 class UnknownEventTests(DispatcherCase):
     def test_is_refused(self):
