Keep undetected shifts of demand from hiding later ones

Cause: a shift was a distance of 1.6 times the largest of the latest 30. A new leader knows no distances, so the first shift goes undetected, counts as usual, and raises the threshold above the next one, which counts as usual in turn. The baseline then mixes several demands, so distances stay large as well. With undetected shifts, maps are planned for a mixture (map_kept reason=even beside passes of .15 s).

Class: a threshold that learns from what it has to detect.

Change: recent demand is compared with that of 1.5 s before it, so that an undetected shift makes distances large for so long only, and the usual distance is the largest of the calmest ten observations (a second) of the latest 60. Ruled out, with the model of NewLeaderTests: lower quantiles of the old distances (lock up as well), the median with the short reference (detects bursts of requests as shifts, test_bursts_of_requests_are_no_shift).

--- a/packages/savoryyoke-agent/savoryyoke_agent/balancer.py
+++ b/packages/savoryyoke-agent/savoryyoke_agent/balancer.py
@@ -99,6 +99,8 @@
             copies=plan.copies,
             most_copies=plan.most_copies,
             pass_s=self.mean_pass_s(),
+            distance=self._demand.distance,
+            min_distance=self._demand.min_shift_distance,
         )
         return plan
 
--- a/packages/savoryyoke/savoryyoke/groups/balancing/conf.py
+++ b/packages/savoryyoke/savoryyoke/groups/balancing/conf.py
@@ -24,21 +24,24 @@
 MAX_STORED_MAPS = 4
 
 # Demand may shift every few seconds. The recent demand, over this time, is
-# compared with the demand before it by their total variation distance.
+# compared with the demand of the reference window before it by their total
+# variation distance. A shift that goes undetected makes distances unusual for
+# the reference window only, less than half of the time between shifts.
 RECENT_WINDOW_S = 0.3
-# A shift is a distance of this many times the largest usual one, which is that
-# of the latest observations without a shift.
-SHIFT_DISTANCE_RATIO = 1.6
-USUAL_DISTANCES = 30
-# Fewer observations don't show what is usual.
-MIN_USUAL_DISTANCES = 5
+REFERENCE_WINDOW_S = 1.5
+# A shift is a distance of this many times the largest one of the calmest
+# second, of ten observations, among the latest ones. These cover more than the
+# time between two shifts.
+SHIFT_DISTANCE_RATIO = 1.8
+CALM_DISTANCES = 10
+USUAL_DISTANCES = 60
 # A smaller shift hardly changes the load of any rank.
 MIN_SHIFT_DISTANCE = 0.04
 # Smallest distance of a shift until usual distances have been observed.
 DEFAULT_SHIFT_DISTANCE = 0.3
-# A baseline of fewer choices than this many times the recent ones is too small
-# a sample to tell what is usual.
-SETTLED_BASELINE_RATIO = 3.0
+# A reference of fewer choices than this many times the recent ones is too
+# small a sample to tell what is usual.
+SETTLED_REFERENCE_RATIO = 3.0
 # Time in which earlier choices lose half of their weight.
 BASELINE_HALF_LIFE_S = 4.0
 
--- a/packages/savoryyoke/savoryyoke/groups/balancing/demand.py
+++ b/packages/savoryyoke/savoryyoke/groups/balancing/demand.py
@@ -54,19 +54,21 @@
     """Estimate the demand from the choices of all ranks since its last shift.
 
     Demand stays stable for some seconds and then shifts abruptly. The choices
-    of a recent window are therefore compared with the baseline, the choices
-    before that window. If the two differ too much, the baseline is dropped,
-    so that no plan is based on outdated demand. Otherwise the estimate
-    includes both, because the few requests of a short window are a small
-    sample. The baseline decays slowly.
+    of a recent window are therefore compared with those of a reference window
+    before it. If the two differ too much, the baseline, which is all choices
+    before the recent window, is dropped, so that no plan is based on outdated
+    demand. Otherwise the estimate includes both, because the few requests of
+    a short window are a small sample. The baseline decays slowly.
     """
 
     def __init__(self, *, sets, experts):
         self._sets = sets
         self._experts = experts
         self._recent = collections.deque()
+        self._reference = collections.deque()
         self._baseline = [0.0] * (sets * experts)
         self._baseline_s = None
+        self.distance = None
         self.shift_distance = None
         self._shifts = shifts.ShiftDetector()
 
@@ -91,17 +93,19 @@
     def estimate(self, *, now_s):
         """Return the demand by set and expert; None with too few choices.
 
-        The demand of each set adds up to 1. If this call detects a shift,
-        ``shift_distance`` is set to the distance between the recent demand and
-        the baseline, from 0 to 1; otherwise it is None.
+        The demand of each set adds up to 1. ``distance`` is set to the
+        distance between the recent demand and that before it, or None if there
+        are too few choices. If this call detects a shift,
+        ``shift_distance`` is set to it as well; otherwise it is None.
         """
         self._move_expired_to_baseline(now_s)
-        recent_counts = self._sum_recent()
+        recent_counts = self._sum_up(self._recent)
         self.shift_distance = self._detect_shift(recent_counts, now_s)
         if self.shift_distance is not None:
             self._baseline = [0.0] * len(self._baseline)
+            self._reference.clear()
             self._drop_mixed_choices(now_s)
-            recent_counts = self._sum_recent()
+            recent_counts = self._sum_up(self._recent)
         total_counts = list(map(float.__add__, self._baseline, recent_counts))
         if not self._is_enough(total_counts):
             return None
@@ -116,10 +120,14 @@
             self._recent and now_s - self._recent[0][0] > conf.RECENT_WINDOW_S
         ):
             received_s, choices = self._recent.popleft()
+            self._reference.append((received_s, choices))
             self._decay_baseline(received_s)
             self._baseline = list(
                 map(float.__add__, self._baseline, map(float, choices))
             )
+        oldest_s = now_s - conf.RECENT_WINDOW_S - conf.REFERENCE_WINDOW_S
+        while self._reference and self._reference[0][0] < oldest_s:
+            self._reference.popleft()
 
     def _decay_baseline(self, now_s):
         if self._baseline_s is not None:
@@ -128,37 +136,42 @@
             self._baseline = [decay_factor * count for count in self._baseline]
         self._baseline_s = now_s
 
-    def _sum_recent(self):
-        recent_counts = [0] * len(self._baseline)
-        for _, choices in self._recent:
-            recent_counts = list(map(int.__add__, recent_counts, choices))
-        return list(map(float, recent_counts))
+    def _sum_up(self, reports):
+        """Return the sum of the choices in some reports."""
+        counts = [0] * len(self._baseline)
+        for _, choices in reports:
+            counts = list(map(int.__add__, counts, choices))
+        return list(map(float, counts))
 
     def _detect_shift(self, recent_counts, now_s):
-        """Return the distance to the baseline if demand has shifted.
+        """Return the distance to the reference if demand has shifted.
 
         Return None if it has not, or if there are too few choices.
         """
+        self.distance = None
+        reference_counts = self._sum_up(self._reference)
         if not self._is_enough(recent_counts) or not self._is_enough(
-            self._baseline
+            reference_counts
         ):
             return None
-        distance = self._find_mean_distance(recent_counts)
-        is_settled = sum(self._baseline) >= conf.SETTLED_BASELINE_RATIO * sum(
-            recent_counts
+        self.distance = self._find_mean_distance(
+            recent_counts, reference_counts
         )
+        is_settled = sum(
+            reference_counts
+        ) >= conf.SETTLED_REFERENCE_RATIO * sum(recent_counts)
         is_shift = self._shifts.is_shift(
-            distance, is_settled=is_settled, now_s=now_s
+            self.distance, is_settled=is_settled, now_s=now_s
         )
-        return distance if is_shift else None
+        return self.distance if is_shift else None
 
-    def _find_mean_distance(self, recent_counts):
-        """Return the mean distance of recent demand to the baseline."""
+    def _find_mean_distance(self, recent_counts, reference_counts):
+        """Return the mean distance of two demands over all sets."""
         distances = [
-            _find_distance(_normalize(recent_set), _normalize(baseline_set))
-            for recent_set, baseline_set in zip(
+            _find_distance(_normalize(recent_set), _normalize(reference_set))
+            for recent_set, reference_set in zip(
                 self._split_by_set(recent_counts),
-                self._split_by_set(self._baseline),
+                self._split_by_set(reference_counts),
                 strict=True,
             )
         ]
--- a/packages/savoryyoke/savoryyoke/groups/balancing/shifts.py
+++ b/packages/savoryyoke/savoryyoke/groups/balancing/shifts.py
@@ -8,10 +8,14 @@
 class ShiftDetector:
     """Detect when the recent demand differs from the earlier demand.
 
-    How much the demand of some tenths of a second differs from that of several
-    seconds without a shift depends on the number of requests and on how
-    unevenly they choose experts. A distance is therefore a shift if it clearly
-    exceeds the distances before it.
+    How much the demand of some tenths of a second differs from that before it
+    without a shift depends on the number of requests and on how unevenly they
+    choose experts. A distance is therefore a shift if it clearly exceeds those
+    of the calmest second among the latest ones.
+
+    The first shifts may go undetected, since nothing is known then. Their
+    distances must not count as usual: the largest of all latest distances
+    would hide each shift by the one before it.
     """
 
     def __init__(self):
@@ -25,11 +29,16 @@
     @property
     def min_distance(self):
         """Return the total variation distance from which on demand shifts."""
-        if len(self._usual_distances) < conf.MIN_USUAL_DISTANCES:
+        distances = list(self._usual_distances)
+        if len(distances) < conf.CALM_DISTANCES:
             return conf.DEFAULT_SHIFT_DISTANCE
+        largest_calm_distance = min(
+            max(distances[start : start + conf.CALM_DISTANCES])
+            for start in range(len(distances) - conf.CALM_DISTANCES + 1)
+        )
         return max(
             conf.MIN_SHIFT_DISTANCE,
-            conf.SHIFT_DISTANCE_RATIO * max(self._usual_distances),
+            conf.SHIFT_DISTANCE_RATIO * largest_calm_distance,
         )
 
     @property
--- a/packages/savoryyoke/tests/groups/balancing/test_balancing.py
+++ b/packages/savoryyoke/tests/groups/balancing/test_balancing.py
@@ -1,5 +1,6 @@
 """Test the estimate of demand and the search for maps."""
 
+import math
 import random
 import unittest
 
@@ -426,6 +427,106 @@
         self.assertEqual([], self.simulate(shifts=1)[0])
 
 
+class NewLeaderTests(unittest.TestCase):
+    """Start to observe demand at any moment between two of its shifts.
+
+    The demand of each moment differs from the mean as the requests in flight
+    do, which change within some seconds.
+    """
+
+    EXPERTS = 252
+    SHIFT_EVERY_S = 3.9
+    REPORT_INTERVAL_S = 0.3
+    REQUESTS_LIFE_S = 2.0
+    SPREAD = 0.08
+    SECONDS = 24.0
+
+    def simulate(self, seed, *, shift_shares):
+        """Return the times of shifts and those at which they are detected.
+
+        Each shift replaces a share of the demand, between the two in
+        ``shift_shares``.
+        """
+        self.random = random.Random(seed)
+        estimator = demand.DemandEstimator(sets=1, experts=self.EXPERTS)
+        weights = self.make_weights()
+        deviations = [self.random.gauss(0, 1) for _ in weights]
+        next_shift_s = self.random.uniform(0.3, self.SHIFT_EVERY_S)
+        next_report_s = 0.0
+        shifts_s, detected_s = [], []
+        for tick in range(round(10 * self.SECONDS)):
+            now_s = tick / 10
+            if now_s >= next_shift_s:
+                weights = self.mix(weights, self.random.uniform(*shift_shares))
+                shifts_s.append(now_s)
+                next_shift_s += self.SHIFT_EVERY_S
+            if now_s >= next_report_s:
+                next_report_s += self.REPORT_INTERVAL_S
+                deviations = [self.vary(value) for value in deviations]
+                estimator.add(
+                    [
+                        round(30000 * weight * math.exp(self.SPREAD * value))
+                        for weight, value in zip(
+                            weights, deviations, strict=True
+                        )
+                    ],
+                    now_s=now_s,
+                )
+            estimator.estimate(now_s=now_s)
+            if estimator.shift_distance is not None:
+                detected_s.append(now_s)
+        return shifts_s, detected_s
+
+    def make_weights(self):
+        weights = [(number + 1) ** -0.5 for number in range(self.EXPERTS)]
+        self.random.shuffle(weights)
+        return [weight / sum(weights) for weight in weights]
+
+    def mix(self, weights, share):
+        return [
+            (1 - share) * old + share * new
+            for old, new in zip(weights, self.make_weights(), strict=True)
+        ]
+
+    def vary(self, deviation):
+        kept = math.exp(-self.REPORT_INTERVAL_S / self.REQUESTS_LIFE_S)
+        return kept * deviation + math.sqrt(1 - kept**2) * self.random.gauss(
+            0, 1
+        )
+
+    def find_detected(self, seed, *, shift_shares):
+        """Return whether each shift was detected within a second.
+
+        The first two are left out: the usual distances are not known then.
+        """
+        shifts_s, detected_s = self.simulate(seed, shift_shares=shift_shares)
+        return [
+            any(
+                shift_s <= noticed_s <= shift_s + 1.0
+                for noticed_s in detected_s
+            )
+            for shift_s in shifts_s[2:-1]
+        ]
+
+    def test_shifts_are_detected_whenever_a_leader_starts(self):
+        for seed in range(10):
+            with self.subTest(seed=seed):
+                detected = self.find_detected(seed, shift_shares=(0.12, 0.3))
+                self.assertTrue(all(detected), detected)
+
+    def test_undetected_shifts_do_not_hide_all_later_ones(self):
+        for seed in range(10):
+            with self.subTest(seed=seed):
+                detected = self.find_detected(seed, shift_shares=(0.1, 0.2))
+                self.assertTrue(any(detected), detected)
+
+    def test_no_shift_is_detected_without_one(self):
+        for seed in range(5):
+            with self.subTest(seed=seed):
+                _, detected_s = self.simulate(seed, shift_shares=(0.0, 0.0))
+                self.assertEqual([], detected_s)
+
+
 class ChoiceCounterTests(unittest.TestCase):
     def setUp(self):
         self.counter = demand.ChoiceCounter()
