--- a/packages/savoryyoke-gateway/tests/test_group_outages.py
+++ b/packages/savoryyoke-gateway/tests/test_group_outages.py
@@ -127,6 +127,13 @@
         self.publish(*RANKS[:2], dataclasses.replace(RANKS[2], group_epoch=2))
         self.assert_in_service()
 
+    def test_refusal_of_an_earlier_epoch_shows_no_outage(self):
+        self.publish(
+            *(dataclasses.replace(rank, group_epoch=2) for rank in RANKS)
+        )
+        self.answer(REFUSAL, rank=0, at_fault='t2')
+        self.assert_in_service()
+
     def test_one_request_at_a_time_finds_out_whether_the_outage_is_over(self):
         self.answer(REFUSAL, rank=0, at_fault='t2')
         self.now_s += LATER_S
--- a/packages/savoryyoke/savoryyoke/placement/groups.py
+++ b/packages/savoryyoke/savoryyoke/placement/groups.py
@@ -66,11 +66,15 @@
         return refusal is None or now_s >= refusal.retry_s
 
     def record_refusal(self, target, *, now_s):
-        """Record that a target refused a request because of another rank."""
-        if target.group:
+        """Record that a target refused a request because of another rank.
+
+        A refusal may arrive after the group has formed again; ``target`` is
+        as it was published when the request was sent.
+        """
+        epoch = self._epochs_by_group.get(target.group)
+        if epoch is not None and target.group_epoch == epoch:
             self._refusals_by_group[target.group] = _Refusal(
-                epoch=self._epochs_by_group.get(target.group, 0),
-                retry_s=now_s + conf.GROUP_RETRY_INTERVAL_S,
+                epoch=epoch, retry_s=now_s + conf.GROUP_RETRY_INTERVAL_S
             )
 
     def record_answer(self, target):
