Find the shape of a group although one of its targets is odd

The shape came from the service of the first target that names the group. An entry of another writer that names it and another service would have kept agents from learning their group until they read the platform. The random source of an agent's membership is required now, as others are.

--- a/packages/savoryyoke-agent/savoryyoke_agent/membership.py
+++ b/packages/savoryyoke-agent/savoryyoke_agent/membership.py
@@ -1,7 +1,6 @@
 """Learn the members of the own group from the entries."""
 
 import itertools
-import random
 
 from savoryyoke_agent import conf
 
@@ -31,7 +30,7 @@
         member_finder,
         read_published_values,
         clock,
-        random_source=None,
+        random_source,
     ):
         self._settings = settings
         self._send = send
@@ -39,7 +38,7 @@
         self._read_published_values = read_published_values
         self._clock = clock
         seed_hosts = list(settings.seed_hosts)
-        (random_source or random.SystemRandom()).shuffle(seed_hosts)
+        random_source.shuffle(seed_hosts)
         self._seeds = itertools.cycle(seed_hosts)
         self._unanswered_since_s = None
         self.members = None
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/published_state.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/published_state.py
@@ -87,13 +87,11 @@
             for target in self.publication.targets
             if target.group == group
         ]
-        if not members or self.catalogue is None:
-            return None
-        service = self.catalogue.services_by_name.get(members[0].service_name)
-        if service is None or service.group_shape is None:
+        shape = self._find_group_shape(members)
+        if shape is None:
             return None
         return rollout_models.GroupMembers(
-            shape=service.group_shape,
+            shape=shape,
             hosts_by_rank={
                 target.group_rank: target.host
                 # A rank that has started anew may be listed twice.
@@ -104,6 +102,16 @@
             },
         )
 
+    def _find_group_shape(self, members):
+        """Return the ``GroupShape`` of the targets of a group, or None."""
+        if self.catalogue is None:
+            return None
+        for target in members:
+            service = self.catalogue.services_by_name.get(target.service_name)
+            if service is not None and service.group_shape is not None:
+                return service.group_shape
+        return None
+
     def apply(self, reading, *, source, after_outage=False):
         """Apply a reading, which is a ``Snapshot`` or ``Changes``.
 
