Learn what is usual from half a second without shifts

Cause: the calmest second is ten observations, but there were none of so many without traces of a shift: demand isn't observed while a map is changed (0.5 s of 3.2 s), a search takes 0.3 s, and an undetected shift left traces for 1.8 s.

Change: five observations, a reference window of 1.0 s (traces for 1.3 s), twice the largest calm distance in place of 1.8 times, and twice the recent choices as the smallest reference, which is what the shorter window holds.

--- a/packages/savoryyoke/savoryyoke/groups/balancing/conf.py
+++ b/packages/savoryyoke/savoryyoke/groups/balancing/conf.py
@@ -26,14 +26,15 @@
 # Demand may shift every few seconds. The recent demand, over this time, is
 # compared with the demand of the reference window before it by their total
 # variation distance. A shift that goes undetected makes distances unusual for
-# the reference window only, less than half of the time between shifts.
+# the reference window only, about a third of the time between shifts.
 RECENT_WINDOW_S = 0.3
-REFERENCE_WINDOW_S = 1.5
-# A shift is a distance of this many times the largest one of the calmest
-# second, of ten observations, among the latest ones. These cover more than the
-# time between two shifts.
-SHIFT_DISTANCE_RATIO = 1.8
-CALM_DISTANCES = 10
+REFERENCE_WINDOW_S = 1.0
+# A shift is a distance of this many times the largest one of the calmest half
+# second, of five observations, among the latest ones. These cover more than
+# the time between two shifts. Demand isn't observed while a map is changed, so
+# often there is no longer time without traces of a shift.
+SHIFT_DISTANCE_RATIO = 2.0
+CALM_DISTANCES = 5
 USUAL_DISTANCES = 60
 # A smaller shift hardly changes the load of any rank.
 MIN_SHIFT_DISTANCE = 0.04
@@ -41,7 +42,7 @@
 DEFAULT_SHIFT_DISTANCE = 0.3
 # A reference of fewer choices than this many times the recent ones is too
 # small a sample to tell what is usual.
-SETTLED_REFERENCE_RATIO = 3.0
+SETTLED_REFERENCE_RATIO = 2.0
 # Time in which earlier choices lose half of their weight.
 BASELINE_HALF_LIFE_S = 4.0
 
--- a/packages/savoryyoke/savoryyoke/groups/balancing/shifts.py
+++ b/packages/savoryyoke/savoryyoke/groups/balancing/shifts.py
@@ -11,7 +11,7 @@
     How much the demand of some tenths of a second differs from that before it
     without a shift depends on the number of requests and on how unevenly they
     choose experts. A distance is therefore a shift if it clearly exceeds those
-    of the calmest second among the latest ones.
+    of the calmest half second among the latest ones.
 
     The first shifts may go undetected, since nothing is known then. Their
     distances must not count as usual: the largest of all latest distances
--- a/packages/savoryyoke/tests/groups/balancing/test_balancing.py
+++ b/packages/savoryyoke/tests/groups/balancing/test_balancing.py
@@ -8,6 +8,7 @@
 from savoryyoke.groups.balancing import demand
 from savoryyoke.groups.balancing import planner
 from savoryyoke.groups.balancing import search
+from savoryyoke.groups.balancing import shifts
 
 RANKS = 12
 EXPERTS = 72
@@ -527,6 +528,29 @@
                 self.assertEqual([], detected_s)
 
 
+class ShiftDetectorTests(unittest.TestCase):
+    def test_half_a_second_shows_a_new_leader_what_is_usual(self):
+        detector = shifts.ShiftDetector()
+        # Observed by a leader after its first change of the map.
+        distances_by_time_s = {
+            14.01: 0.029,
+            14.95: 0.027,
+            15.09: 0.036,
+            15.22: 0.038,
+            15.36: 0.044,
+            15.49: 0.112,
+            15.63: 0.168,
+            15.77: 0.180,
+            15.91: 0.158,
+        }
+        detected_s = [
+            now_s
+            for now_s, distance in distances_by_time_s.items()
+            if detector.is_shift(distance, is_settled=True, now_s=now_s)
+        ]
+        self.assertEqual([15.91], detected_s)
+
+
 class ChoiceCounterTests(unittest.TestCase):
     def setUp(self):
         self.counter = demand.ChoiceCounter()
