--- a/packages/savoryyoke/savoryyoke/groups/balancing/demand.py
+++ b/packages/savoryyoke/savoryyoke/groups/balancing/demand.py
@@ -66,6 +66,7 @@
         self._experts = experts
         self._recent = collections.deque()
         self._reference = collections.deque()
+        self._reference_counts = [0] * (sets * experts)
         self._baseline = [0.0] * (sets * experts)
         self._baseline_s = None
         self.distance = None
@@ -99,13 +100,14 @@
         ``shift_distance`` is set to it as well; otherwise it is None.
         """
         self._move_expired_to_baseline(now_s)
-        recent_counts = self._sum_up(self._recent)
+        recent_counts = self._sum_recent()
         self.shift_distance = self._detect_shift(recent_counts, now_s)
         if self.shift_distance is not None:
             self._baseline = [0.0] * len(self._baseline)
             self._reference.clear()
+            self._reference_counts = [0] * len(self._reference_counts)
             self._drop_mixed_choices(now_s)
-            recent_counts = self._sum_up(self._recent)
+            recent_counts = self._sum_recent()
         total_counts = list(map(float.__add__, self._baseline, recent_counts))
         if not self._is_enough(total_counts):
             return None
@@ -121,13 +123,19 @@
         ):
             received_s, choices = self._recent.popleft()
             self._reference.append((received_s, choices))
+            self._reference_counts = list(
+                map(int.__add__, self._reference_counts, choices)
+            )
             self._decay_baseline(received_s)
             self._baseline = list(
                 map(float.__add__, self._baseline, map(float, choices))
             )
         oldest_s = now_s - conf.RECENT_WINDOW_S - conf.REFERENCE_WINDOW_S
         while self._reference and self._reference[0][0] < oldest_s:
-            self._reference.popleft()
+            _, choices = self._reference.popleft()
+            self._reference_counts = list(
+                map(int.__sub__, self._reference_counts, choices)
+            )
 
     def _decay_baseline(self, now_s):
         if self._baseline_s is not None:
@@ -136,12 +144,11 @@
             self._baseline = [decay_factor * count for count in self._baseline]
         self._baseline_s = now_s
 
-    def _sum_up(self, reports):
-        """Return the sum of the choices in some reports."""
-        counts = [0] * len(self._baseline)
-        for _, choices in reports:
-            counts = list(map(int.__add__, counts, choices))
-        return list(map(float, counts))
+    def _sum_recent(self):
+        recent_counts = [0] * len(self._baseline)
+        for _, choices in self._recent:
+            recent_counts = list(map(int.__add__, recent_counts, choices))
+        return list(map(float, recent_counts))
 
     def _detect_shift(self, recent_counts, now_s):
         """Return the distance to the reference if demand has shifted.
@@ -149,7 +156,7 @@
         Return None if it has not, or if there are too few choices.
         """
         self.distance = None
-        reference_counts = self._sum_up(self._reference)
+        reference_counts = list(map(float, self._reference_counts))
         if not self._is_enough(recent_counts) or not self._is_enough(
             reference_counts
         ):
