--- a/packages/savoryyoke-gateway/tests/test_group_outages.py
+++ b/packages/savoryyoke-gateway/tests/test_group_outages.py
@@ -17,18 +17,14 @@
 from savoryyoke_gateway import metrics
 from savoryyoke_gateway import requests
 
+from tests import test_dispatching
+
 RANKS = tuple(
-    models.Target(
+    dataclasses.replace(
+        test_dispatching.TARGET,
         target_id=f't{rank}',
-        incarnation=1,
-        service_name='s',
         host=f'10.0.0.{rank}',
-        port=80,
-        data_centre='dc-a',
-        region='r',
         slots=4,
-        is_draining=False,
-        is_in_service=True,
         group='g',
         group_epoch=1,
         group_rank=rank,
--- a/packages/savoryyoke/tests/placement/test_group_outages.py
+++ b/packages/savoryyoke/tests/placement/test_group_outages.py
@@ -5,79 +5,43 @@
 """
 
 import dataclasses
-import random
-import unittest
 
 from savoryyoke.placement import conf
 from savoryyoke.placement import decisions
-from savoryyoke.placement import dispatcher
-from savoryyoke.placement import events
 from savoryyoke.placement import models
-from savoryyoke.placement import pool
+
+from tests.placement import test_dispatcher
 
 RANKS = 6
-SEED = 20261205
 TIME_LEFT_S = 8.0
 
 
-def build_rank(rank, **changes):
+def build_rank(rank):
     """Return the published target of a rank."""
-    fields = {
-        'target_id': f't{rank}',
-        'incarnation': 1,
-        'service_name': 's',
-        'host': f'10.0.1.{rank}',
-        'port': 80,
-        'data_centre': 'dc-a',
-        'region': 'r',
-        'slots': 4,
-        'is_draining': False,
-        'is_in_service': True,
-        'group': 'g',
-        'group_epoch': 1,
-        'group_rank': rank,
-    }
-    return models.Target(**(fields | changes))
-
-
-class GroupCase(unittest.TestCase):
+    return test_dispatcher.build_target(
+        rank, slots=4, group='g', group_epoch=1, group_rank=rank
+    )
+
+
+class GroupCase(test_dispatcher.DispatcherCase):
     """Give tests a dispatcher with a group in service."""
 
     def setUp(self):
-        random_fraction = random.Random(SEED).random
-        self.dispatcher = dispatcher.Dispatcher(
-            pool=pool.TargetPool(
-                policy=conf.PlacementPolicy(),
-                is_engine=True,
-                own_data_centre='dc-a',
-                random_fraction=random_fraction,
-            ),
-            random_fraction=random_fraction,
-        )
+        self.build(is_engine=True)
         self.ranks = [build_rank(rank) for rank in range(RANKS)]
-        self.publish()
+        self.publish_ranks()
 
-    def publish(self, *, now_s=0.0):
-        return self.dispatcher.apply(
-            events.TargetsChanged(targets=tuple(self.ranks)), now_s=now_s
-        )
+    def publish_ranks(self, *, now_s=0.0):
+        return self.publish(*self.ranks, now_s=now_s)
 
     def change(self, ranks, **changes):
         """Change the published targets of some ranks."""
         for rank in ranks:
             self.ranks[rank] = dataclasses.replace(self.ranks[rank], **changes)
 
-    def arrive(self, request_id='r', *, now_s=0.0, is_on_time=True):
-        return self.dispatcher.apply(
-            events.RequestArrived(
-                request_id=request_id,
-                is_on_time=is_on_time,
-                priority=1,
-                wait_until_s=now_s + 1.1,
-                time_left_s=TIME_LEFT_S,
-            ),
-            now_s=now_s,
-        )
+    def arrive(self, request_id='r', now_s=0.0, **changes):
+        fields = {'wait_until_s': now_s + 1.1, 'time_left_s': TIME_LEFT_S}
+        return super().arrive(request_id, now_s, **(fields | changes))
 
     def assert_outage(self, decided):
         """Check that a request is refused until an outage may be over."""
@@ -100,27 +64,27 @@
 class PublishedOutageTests(GroupCase):
     def test_group_with_one_broken_rank_gets_no_requests(self):
         self.change([2], is_in_service=False)
-        self.publish()
+        self.publish_ranks()
         self.assert_outage(self.arrive())
 
     def test_ranks_that_publish_nothing_new_get_no_requests(self):
         # These ranks are cut off from the platform.
         cut_off = {4, 5}
         self.change(set(range(RANKS)) - cut_off, is_in_service=False)
-        self.publish()
+        self.publish_ranks()
         self.assert_outage(self.arrive())
 
     def test_queued_request_is_placed_once_the_group_is_back(self):
         self.change([2], is_in_service=False)
-        self.publish()
+        self.publish_ranks()
         self.assertEqual((), self.arrive(is_on_time=False))
         self.change([0], group_epoch=2)
-        self.assert_placed(self.publish(now_s=0.5))
+        self.assert_placed(self.publish_ranks(now_s=0.5))
 
     def test_first_rank_of_a_new_epoch_shows_that_the_group_is_back(self):
         self.change(range(RANKS), is_in_service=False)
         self.change([3], is_in_service=True, group_epoch=2)
-        self.publish()
+        self.publish_ranks()
         placed = [
             decision.target.target_id
             for number in range(RANKS)
@@ -132,7 +96,7 @@
         self.change([4], group='h')
         self.change([5], group='', group_epoch=0)
         self.change([0], is_in_service=False)
-        self.publish()
+        self.publish_ranks()
         placed = {
             decision.target.target_id
             for number in range(6)
