--- a/review/standins.py
+++ b/review/standins.py
@@ -86,7 +86,7 @@
         return f'{self._prefix}.{self._number}'
 
 
-def find_ports(host, count):
+def find_ports(host, count, *, excluded=()):
     """Return free ports of a host, for TCP and UDP."""
     with contextlib.ExitStack() as stack:
         ports = []
@@ -99,7 +99,8 @@
             )
             with contextlib.suppress(OSError):
                 udp.bind((host, port))
-                ports.append(port)
+                if port not in excluded:
+                    ports.append(port)
         return ports
 
 
@@ -516,7 +517,8 @@
     def __init__(self, programs, name, host, *, peer_port, store_address, seeds):
         self.name = name
         self._programs = programs
-        ports = find_ports(host, 4)
+        peer_ports = range(peer_port, peer_port + 16)
+        ports = find_ports(host, 4, excluded=(*peer_ports, 9464))
         self.settings = programs.build_settings(
             name,
             host,
@@ -615,6 +617,11 @@
     record = Record()
     programs = Programs(record)
     status = 2
+
+    def end(number, frame):
+        raise CannotRun('ended by a signal')
+
+    signal.signal(signal.SIGTERM, end)
     try:
 
         async def limited():
