--- a/review/standins.py
+++ b/review/standins.py
@@ -185,6 +185,9 @@
         self.watches = 0
         self.era = None
         self.address = None
+        self.is_away = False
+        self._writers = set()
+        self._waiting_writers = set()
 
     async def start(self, host):
         self.server, port = await serve(self._handle, host)
@@ -210,12 +213,49 @@
         self._add_event({'Key': key, 'Rev': self.revision, 'Deleted': True})
         self.record.write('store-removed', key=key, rev=self.revision)
 
+    def copy(self):
+        return dict(self.items), self.revision
+
+    def go_away(self):
+        """Close all connections, and further ones as they are opened."""
+        self.is_away = True
+        for writer in list(self._writers):
+            reset(writer)
+        self.record.write('store-away')
+
+    def come_back(self, copy):
+        """Serve the contents of an older copy in the next era."""
+        items, self.revision = copy
+        self.items = dict(items)
+        self.events = []
+        self.first_watchable = self.revision
+        self.era += 1
+        self.is_away = False
+        self.record.write('store-back', era=self.era, rev=self.revision)
+
+    def cut_watches(self):
+        """Cut the watches that are waiting."""
+        for writer in list(self._waiting_writers):
+            writer.transport.abort()
+        self.record.write('watches-cut')
+
     def _add_event(self, event):
         self.events.append(event)
         self.changed.set()
         self.changed = asyncio.Event()
 
     async def _handle(self, reader, writer):
+        if self.is_away:
+            reset(writer)
+            return
+        self._writers.add(writer)
+        try:
+            await self._answer_all(reader, writer)
+        finally:
+            self._writers.discard(writer)
+            self._waiting_writers.discard(writer)
+
+    async def _answer_all(self, reader, writer):
         while (message := await read_message(reader)) is not None:
             url = urllib.parse.urlsplit(message[0].split(' ')[1])
             query = dict(urllib.parse.parse_qsl(url.query))
@@ -223,7 +263,9 @@
             if url.path == '/savoryyoke/kv-range':
                 status, document = self._read_range(query)
             elif url.path == '/savoryyoke/kv-watch':
+                self._waiting_writers.add(writer)
                 status, document = await self._watch(query)
+                self._waiting_writers.discard(writer)
             else:
                 status, document = 404, {}
             headers = [('Content-Type', 'application/json')]
