--- a/review/5/case.py
+++ b/review/5/case.py
@@ -4,7 +4,7 @@
 import pathlib
 import sys
 
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / '1'))
 
 import standins
 
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 # their syntax before a case runs and writes nothing.
 set -eu
 cd "$(dirname "$0")"
-python3 -B - standins.py engines.py ./*/case.py <<'CHECK'
+python3 -B - ./*/*.py <<'CHECK'
 import sys
 
 for path in sys.argv[1:]:
