Apply the events of a reading in their order

Cause: StoreClient.read_changes split the events of a watch into written items and removed keys. The view applied the removals first, so a key that was written and then removed within one answer came back for good.

Ruled out: keeping only the last event of each key in the adapter.

Change: Changes holds the written items and the removals in one sequence, ordered by revision.

--- a/packages/savoryyoke-gateway/savoryyoke_gateway/following.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/following.py
@@ -117,8 +117,8 @@
 
     def _has_revision_gap(self, changes):
         """Return whether the revision changed although no item did."""
-        has_changes = changes.items or changes.removed_keys
-        return changes.as_of != self._published_state.as_of and not has_changes
+        is_newer = changes.as_of != self._published_state.as_of
+        return is_newer and not changes.events
 
     def _record_failure(self, error):
         """Record a failed read; return the seconds until the next one."""
--- a/packages/savoryyoke-gateway/tests/test_following.py
+++ b/packages/savoryyoke-gateway/tests/test_following.py
@@ -31,9 +31,7 @@
         if self.is_silent:
             await anyio.sleep_forever()
         return models.Changes(
-            as_of=models.Revision(number=after.number + 1),
-            items=(),
-            removed_keys=(),
+            as_of=models.Revision(number=after.number + 1), events=()
         )
 
 
--- a/packages/savoryyoke/savoryyoke/published/models.py
+++ b/packages/savoryyoke/savoryyoke/published/models.py
@@ -46,6 +46,14 @@
         )
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Removal:
+    """Report that a key was removed at a revision."""
+
+    key: str
+    revision: Revision
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Hold:
     """Report that a view overrules the restored platform for a key.
@@ -76,9 +84,9 @@
 class Changes:
     """Hold the changes since an earlier revision, up to ``as_of``.
 
-    Both revisions are of the same epoch.
+    Both revisions are of the same epoch. ``events`` are ordered by their
+    revisions, and a key may occur several times.
     """
 
     as_of: Revision
-    items: tuple[Item, ...]
-    removed_keys: tuple[str, ...]
+    events: tuple[Item | Removal, ...]
--- a/packages/savoryyoke/savoryyoke/published/view.py
+++ b/packages/savoryyoke/savoryyoke/published/view.py
@@ -118,15 +118,25 @@
 
     @_apply.register
     def _(self, reading: models.Changes, now_s):
-        for key in reading.removed_keys:
-            self._holds.end(key)
-        changed = self._remove(reading.removed_keys, now_s)
-        for item in reading.items:
-            changed = self._store_written(item, now_s) or changed
+        changed = False
+        for event in reading.events:
+            changed = self._apply_event(event, now_s) or changed
         return changed
 
-    def _store_written(self, item, now_s):
-        """Store an item that was written; return whether it replaces one."""
+    @functools.singledispatchmethod
+    def _apply_event(self, event, now_s):
+        raise TypeError(f'unknown event {type(event).__name__}')
+
+    @_apply_event.register
+    def _(self, event: models.Removal, now_s):
+        current = self._items_by_key.get(event.key)
+        if current is not None and event.revision <= current.revision:
+            return False
+        self._holds.end(event.key)
+        return self._remove([event.key], now_s)
+
+    @_apply_event.register
+    def _(self, item: models.Item, now_s):
         current = self._items_by_key.get(item.key)
         self._expiring_keys.discard(item.key)
         if current is not None:
--- a/packages/savoryyoke/tests/published/test_restores.py
+++ b/packages/savoryyoke/tests/published/test_restores.py
@@ -54,13 +54,14 @@
         self._advance()
         item = models.Item(key=key, revision=self.as_of, value=b'%d' % version)
         self.items_by_key[key] = item
-        return models.Changes(as_of=self.as_of, items=(item,), removed_keys=())
+        return models.Changes(as_of=self.as_of, events=(item,))
 
     def remove(self, key):
         """Remove a value and return the change."""
         self._advance()
         self.items_by_key.pop(key, None)
-        return models.Changes(as_of=self.as_of, items=(), removed_keys=(key,))
+        removal = models.Removal(key=key, revision=self.as_of)
+        return models.Changes(as_of=self.as_of, events=(removal,))
 
     def copy(self):
         return dict(self.items_by_key), self.as_of
--- a/packages/savoryyoke/tests/published/test_view.py
+++ b/packages/savoryyoke/tests/published/test_view.py
@@ -36,11 +36,15 @@
 
 
 def build_changes(as_of, *removed_keys, **revisions_by_key):
-    items = tuple(
+    removals = (
+        models.Removal(key=key, revision=build_revision(as_of))
+        for key in removed_keys
+    )
+    items = (
         build_item(key, revision) for key, revision in revisions_by_key.items()
     )
     return models.Changes(
-        as_of=build_revision(as_of), items=items, removed_keys=removed_keys
+        as_of=build_revision(as_of), events=(*removals, *items)
     )
 
 
@@ -85,6 +89,34 @@
         self.assertEqual({'config', 't2'}, self.keys())
 
 
+class EventOrderTests(unittest.TestCase):
+    """Apply several events of a key that come within one reading."""
+
+    def setUp(self):
+        self.view = build_view()
+        self.view.apply(build_snapshot(5, config=3, t1=4), now_s=0.0)
+
+    def apply(self, *events):
+        self.view.apply(
+            models.Changes(as_of=build_revision(9), events=events), now_s=1.0
+        )
+        return set(self.view.items_by_key)
+
+    def test_item_that_is_written_and_removed_is_absent(self):
+        removal = models.Removal(key='t1', revision=build_revision(8))
+        self.assertEqual({'config'}, self.apply(build_item('t1', 7), removal))
+
+    def test_item_that_is_removed_and_written_is_present(self):
+        removal = models.Removal(key='t1', revision=build_revision(7))
+        self.assertEqual(
+            {'config', 't1'}, self.apply(removal, build_item('t1', 8))
+        )
+
+    def test_removal_before_a_write_that_is_known_has_no_effect(self):
+        removal = models.Removal(key='t1', revision=build_revision(3))
+        self.assertEqual({'config', 't1'}, self.apply(removal))
+
+
 class LeaseExpiryTests(unittest.TestCase):
     def setUp(self):
         self.view = build_view()
