Keep what the platform publishes apart from what overrides it

Cause, one for both: a hold against the restored store kept its own copy of what the store listed at its start, and put that in force at its end. Only changes ended a hold; a list, which follows a failed read, did not.

Evidence: the entries' logs, target_published and data_centres_closed with source=lapse 3.8 and 10.2 s after the return, at as_of=2.105, where the store's answer was right.

Ruled out: ending all holds with the next list. It would bring the older copy into force before its contents are written again.

Change: the view keeps the published items by key, and overrides with an end. A change of what is published, by an event or between two lists, ends a hold; the end of an override puts in force what is published then. No state of the store is stored twice, so none can be out of date.

Tests: test_removal_that_a_snapshot_shows_ends_a_hold, test_values_written_again_with_their_revisions_stay and test_known_removal_is_not_undone_by_a_peer_that_missed_it failed before.

--- a/packages/savoryyoke/savoryyoke/published/holds.py
+++ b/packages/savoryyoke/savoryyoke/published/holds.py
@@ -1,4 +1,4 @@
-"""Keep accepted values while a restored platform lacks them."""
+"""Keep values for a time although the platform lacks them."""
 
 import dataclasses
 import math
@@ -58,66 +58,68 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
-class _ActiveHold:
-    overruled: models.Item | None
+class Override:
+    """Hold what is in force for a key until ``end_s``.
+
+    ``item`` is None if the key is to be absent.
+    """
+
+    item: models.Item | None
     end_s: float
 
 
-class Holds:
-    """Own the keys for which a view overrules the restored platform."""
+class Overrides:
+    """Own the keys for which a view differs from the platform for a time."""
 
     def __init__(self):
-        self._holds_by_key = {}
+        self._overrides_by_key = {}
 
     def __contains__(self, key):
-        return key in self._holds_by_key
+        return key in self._overrides_by_key
 
     def __len__(self):
-        return len(self._holds_by_key)
+        return len(self._overrides_by_key)
 
-    def start(self, key, *, overruled, end_s):
-        """Overrule the platform's item ``overruled`` until ``end_s``."""
-        self._holds_by_key[key] = _ActiveHold(overruled=overruled, end_s=end_s)
+    def start(self, key, *, item, end_s):
+        """Override the platform's state of a key until ``end_s``."""
+        self._overrides_by_key[key] = Override(item=item, end_s=end_s)
 
-    def overrules(self, item):
-        """Return whether this very item is overruled."""
-        hold = self._holds_by_key.get(item.key)
-        return (
-            hold is not None
-            and hold.overruled is not None
-            and hold.overruled.is_same_write(item)
-        )
+    def find(self, key):
+        """Return the ``Override`` of a key, or None."""
+        return self._overrides_by_key.get(key)
 
     def end(self, key):
-        """End the hold of a key, if there is one."""
-        self._holds_by_key.pop(key, None)
+        """End the override of a key, if there is one."""
+        self._overrides_by_key.pop(key, None)
 
     def clear(self):
-        """End all holds."""
-        self._holds_by_key.clear()
+        """End all overrides."""
+        self._overrides_by_key.clear()
+
+    def extend(self, *, end_s):
+        """Let none of the overrides end before ``end_s``."""
+        for key, override in self._overrides_by_key.items():
+            self._overrides_by_key[key] = dataclasses.replace(
+                override, end_s=max(override.end_s, end_s)
+            )
 
     def take_expired(self, *, now_s):
-        """End the holds whose time is over; return overruled items by key."""
-        expired = {
-            key: hold.overruled
-            for key, hold in self._holds_by_key.items()
-            if hold.end_s <= now_s
+        """End the overrides whose time is over and return their keys."""
+        expired_keys = [
+            key
+            for key, override in self._overrides_by_key.items()
+            if override.end_s <= now_s
+        ]
+        for key in expired_keys:
+            del self._overrides_by_key[key]
+        return expired_keys
+
+    def remaining_s_by_key(self, *, now_s):
+        """Return how many seconds each override still lasts, by key."""
+        return {
+            key: max(override.end_s - now_s, 0.0)
+            for key, override in self._overrides_by_key.items()
         }
-        for key in expired:
-            del self._holds_by_key[key]
-        return expired
-
-    def report(self, *, now_s):
-        """Return the ``Hold`` reports for a peer."""
-        return tuple(
-            models.Hold(
-                key=key,
-                remaining_s=hold.end_s - now_s,
-                overruled=hold.overruled,
-            )
-            for key, hold in self._holds_by_key.items()
-            if hold.end_s > now_s
-        )
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/savoryyoke/savoryyoke/published/view.py
+++ b/packages/savoryyoke/savoryyoke/published/view.py
@@ -1,6 +1,7 @@
 """Apply readings of published values, but never an older revision."""
 
 import functools
+import math
 
 from savoryyoke.published import conf
 from savoryyoke.published import holds
@@ -8,25 +9,31 @@
 
 
 class PublishedView:
-    """Own the newest items, by key.
+    """Own the items in force, by key.
+
+    They are what the platform publishes as of the newest reading, except for
+    two kinds of keys, which are overridden for a time:
 
     Leased items that disappear during an outage of the platform, or right
-    after it, are kept for ``LEASE_GRACE_S`` after the platform's return. A
+    after it, lapse: they are kept for ``LEASE_GRACE_S`` after its return. A
     lease that could not be renewed expires although its holder is alive.
 
-    A platform that is restored from an older copy begins a new epoch. What it
-    lacks stays as it was accepted until it is written again, or until the
-    hold time of its kind has passed. ``order`` is an ``ItemOrder``.
+    A platform that is restored from an older copy begins a new epoch. What
+    was accepted and is not in the copy is held until the key is written or
+    removed again, or until the hold time of its kind has passed.
+
+    ``order`` is an ``ItemOrder``.
     """
 
     def __init__(self, *, order):
         self._order = order
+        self._published_by_key = {}
         self._items_by_key = {}
         self._as_of = models.NO_REVISION
         self._last_read_s = None
-        self._grace_end_s = None
-        self._expiring_keys = set()
-        self._holds = holds.Holds()
+        self._grace_end_s = -math.inf
+        self._lapses = holds.Overrides()
+        self._holds = holds.Overrides()
         self._removals = holds.Removals()
 
     @property
@@ -52,10 +59,18 @@
 
     def take_snapshot(self, *, now_s):
         """Return a snapshot of the whole view, to be sent to a peer."""
+        remaining_s_by_key = self._holds.remaining_s_by_key(now_s=now_s)
         return models.Snapshot(
             as_of=self._as_of,
-            items=tuple(self._items_by_key.values()),
-            holds=self._holds.report(now_s=now_s),
+            items=tuple(map(self._choose_item, self._items_by_key)),
+            holds=tuple(
+                models.Hold(
+                    key=key,
+                    remaining_s=remaining_s,
+                    overruled=self._published_by_key.get(key),
+                )
+                for key, remaining_s in remaining_s_by_key.items()
+            ),
         )
 
     def apply(self, reading, *, now_s, after_outage=False):
@@ -63,33 +78,32 @@
 
         A reading that is older than the view has no effect, except for the
         holds of a peer in the same epoch. ``after_outage`` marks the first
-        reading after failed ones. Raise ``TypeError`` for an object that is
-        not a reading.
+        reading of the platform after an outage. Raise ``TypeError`` for an
+        object that is not a reading.
         """
-        if reading.as_of < self._as_of:
-            return self._merge_holds(reading, now_s)
-        if after_outage:
-            self._grace_end_s = now_s + conf.LEASE_GRACE_S
-        self._last_read_s = now_s
-        changed = self._apply(reading, now_s)
-        self._as_of = reading.as_of
-        changed = self._merge_holds(reading, now_s) or changed
+        changed = False
+        is_outdated = reading.as_of < self._as_of
+        if not is_outdated:
+            if after_outage:
+                self._begin_grace(now_s)
+            self._last_read_s = now_s
+            changed = self._apply(reading, now_s)
+            self._as_of = reading.as_of
+        changed = self._adopt_holds(reading, now_s) or changed
         return self.expire(now_s=now_s) or changed
 
     def expire(self, *, now_s):
-        """Remove or replace items whose time is over; return if any was."""
+        """End overrides whose time is over; return if any item changed."""
         self._removals.forget_old(now_s=now_s)
-        changed = False
-        for key, overruled in self._holds.take_expired(now_s=now_s).items():
-            if overruled is None:
-                changed = self._delete(key, now_s) or changed
-            else:
-                self._items_by_key[key] = overruled
-                changed = True
-        if self._expiring_keys and now_s >= self._grace_end_s:
-            for key in tuple(self._expiring_keys):
-                changed = self._delete(key, now_s) or changed
-        return changed
+        expired_keys = [
+            *self._holds.take_expired(now_s=now_s),
+            *self._lapses.take_expired(now_s=now_s),
+        ]
+        return self._refresh_all(expired_keys, now_s)
+
+    def _begin_grace(self, now_s):
+        self._grace_end_s = now_s + conf.LEASE_GRACE_S
+        self._lapses.extend(end_s=self._grace_end_s)
 
     @functools.singledispatchmethod
     def _apply(self, reading, now_s):
@@ -97,29 +111,18 @@
 
     @_apply.register
     def _(self, reading: models.Snapshot, now_s):
-        begins_epoch = reading.as_of.epoch > self._as_of.epoch
-        if begins_epoch:
-            self._holds.clear()
-        present_keys = {item.key for item in reading.items}
-        missing_keys = [
-            key
-            for key in self._items_by_key
-            if key not in present_keys and key not in self._holds
-        ]
-        changed = False
-        if begins_epoch:
-            for key in missing_keys:
-                self._hold(self._items_by_key[key], None, now_s)
-        else:
-            changed = self._remove(missing_keys, now_s)
-        for item in reading.items:
-            changed = self._merge(item, now_s, begins_epoch) or changed
-        return changed
+        published_by_key = _find_published(reading)
+        if reading.as_of.epoch > self._as_of.epoch:
+            return self._begin_epoch(published_by_key, now_s)
+        return self._replace_published(published_by_key, reading, now_s)
 
     @_apply.register
     def _(self, reading: models.Changes, now_s):
         changed = False
         for event in reading.events:
+            published = self._published_by_key.get(event.key)
+            if published is not None and event.revision <= published.revision:
+                continue
             changed = self._apply_event(event, now_s) or changed
         return changed
 
@@ -128,158 +131,188 @@
         raise TypeError(f'unknown event {type(event).__name__}')
 
     @_apply_event.register
-    def _(self, event: models.Removal, now_s):
-        current = self._items_by_key.get(event.key)
-        if current is not None and event.revision <= current.revision:
-            return False
-        self._holds.end(event.key)
-        return self._remove([event.key], now_s)
+    def _(self, event: models.Item, now_s):
+        return self._write(event, now_s)
 
     @_apply_event.register
-    def _(self, item: models.Item, now_s):
-        current = self._items_by_key.get(item.key)
-        self._expiring_keys.discard(item.key)
-        if current is not None:
-            if item.revision <= current.revision:
-                return False
-            if (
-                item.revision.epoch != current.revision.epoch
-                and self._order.never_reverts(current)
-                and self._order.is_older(item, current)
-            ):
-                self._hold(current, item, now_s)
-                return False
-        self._store(item)
-        return True
+    def _(self, event: models.Removal, now_s):
+        return self._remove(event.key, now_s)
+
+    def _begin_epoch(self, published_by_key, now_s):
+        """Replace what is published by the restored platform's copy."""
+        self._holds.clear()
+        self._published_by_key = published_by_key
+        for key, accepted in self._items_by_key.items():
+            published = published_by_key.get(key)
+            if published is not None:
+                self._lapses.end(key)
+                if self._order.is_older(published, accepted):
+                    self._hold(accepted, now_s)
+            elif key not in self._lapses:
+                self._hold(accepted, now_s)
+        for key, published in published_by_key.items():
+            if key in self._items_by_key:
+                continue
+            removed = self._removals.find(key)
+            if removed is not None and self._is_outdated(published, removed):
+                self._hold_removal(removed, now_s)
+        return self._refresh_all(
+            {**self._items_by_key, **published_by_key}, now_s
+        )
 
-    def _merge(self, item, now_s, begins_epoch):
-        """Merge an item of a snapshot; return whether it takes effect."""
-        current = self._items_by_key.get(item.key)
-        self._expiring_keys.discard(item.key)
-        if current is None:
-            return self._merge_unknown(item, now_s, begins_epoch)
-        if item.revision.epoch == current.revision.epoch:
-            if item.revision <= current.revision:
-                return False
-        elif item.is_same_write(current) or self._holds.overrules(item):
-            return False
-        elif self._order.is_older(item, current):
-            return self._merge_older(item, current, now_s, begins_epoch)
-        elif item.revision < current.revision and not self._order.is_older(
-            current, item
-        ):
-            return False
-        self._store(item)
-        return True
+    def _replace_published(self, published_by_key, reading, now_s):
+        """Apply the difference between two snapshots of one epoch.
 
-    def _merge_unknown(self, item, now_s, begins_epoch):
-        """Merge an item that the view lacks, unless it was removed."""
-        if self._holds.overrules(item):
-            return False
-        removed = self._removals.find(item.key) if begins_epoch else None
-        if removed is not None and (
-            item.is_same_write(removed) or self._order.is_older(item, removed)
-        ):
-            self._hold(removed, item, now_s)
-            return False
-        self._store(item)
-        return True
+        The pages of a snapshot are read one after the other, so the view may
+        know of changes that are newer than its own revision.
+        """
+        changed = False
+        for key, current in tuple(self._published_by_key.items()):
+            if key in published_by_key or current.revision > reading.as_of:
+                continue
+            changed = self._remove(key, now_s) or changed
+        for key, item in published_by_key.items():
+            current = self._published_by_key.get(key)
+            if current is None or item.revision > current.revision:
+                changed = self._write(item, now_s) or changed
+        return changed
 
-    def _merge_older(self, item, current, now_s, begins_epoch):
-        """Merge an older version that another epoch has.
+    def _write(self, item, now_s):
+        """Apply the write of an item; return whether it takes effect."""
+        self._published_by_key[item.key] = item
+        self._lapses.end(item.key)
+        accepted = self._items_by_key.get(item.key)
+        if accepted is not None and self._reverts(item, accepted):
+            self._hold(accepted, now_s)
+        else:
+            self._holds.end(item.key)
+        return self._refresh(item.key, now_s)
+
+    def _reverts(self, item, accepted):
+        """Return whether a write must not replace an accepted item.
 
-        At the start of an epoch it is from the older copy. Later it was
-        written, and only the owner of a lease may go back to an older one,
-        as its clock may have been set back.
+        The owner of a lease may write an older version after a restore, as
+        its clock may have been set back.
         """
-        if item.revision < current.revision:
-            return False
-        if begins_epoch or self._order.never_reverts(current):
-            self._hold(current, item, now_s)
-            return False
-        self._store(item)
-        return True
+        return (
+            item.revision.epoch != accepted.revision.epoch
+            and self._order.never_reverts(accepted)
+            and self._order.is_older(item, accepted)
+        )
 
-    def _merge_holds(self, reading, now_s):
-        """Adopt what a peer keeps against the restored platform."""
-        if reading.as_of.epoch != self._as_of.epoch:
-            return False
-        if not isinstance(reading, models.Snapshot):
+    def _remove(self, key, now_s):
+        """Apply the removal of a key; return whether an item has changed."""
+        published = self._published_by_key.pop(key, None)
+        self._holds.end(key)
+        accepted = self._items_by_key.get(key)
+        if (
+            published is not None
+            and accepted is not None
+            and now_s < self._grace_end_s
+            and self._order.is_leased(key)
+        ):
+            self._lapses.start(key, item=accepted, end_s=self._grace_end_s)
+        return self._refresh(key, now_s)
+
+    def _adopt_holds(self, reading, now_s):
+        """Take over what a peer holds against the restored platform."""
+        if (
+            not isinstance(reading, models.Snapshot)
+            or reading.as_of.epoch != self._as_of.epoch
+        ):
             return False
         items_by_key = {item.key: item for item in reading.items}
-        changed = False
+        adopted_keys = []
         for hold in reading.holds:
-            kept = items_by_key.get(hold.key)
-            is_known = kept == self._items_by_key.get(hold.key)
-            if is_known and hold.key in self._holds:
-                continue
-            if not is_known and not self._is_better(kept, hold):
-                continue
-            self._adopt(kept, hold, now_s)
-            changed = changed or not is_known
-        return changed
-
-    def _is_better(self, kept, hold):
+            item = items_by_key.get(hold.key)
+            if self._is_better(item, hold):
+                end_s = now_s + hold.remaining_s
+                self._holds.start(hold.key, item=item, end_s=end_s)
+                adopted_keys.append(hold.key)
+        return self._refresh_all(adopted_keys, now_s)
+
+    def _is_better(self, item, hold):
         """Return whether a peer's held state replaces the own state.
 
-        ``kept`` is the peer's item, or None if the peer holds a removal.
+        ``item`` is the peer's item, or None if the peer holds a removal.
         """
-        current = self._items_by_key.get(hold.key)
-        if current is None:
-            return (
-                hold.key not in self._holds
-                and not self._removals.happened_in(self._as_of.epoch, hold.key)
-            )
-        if hold.overruled is not None and current.is_same_write(
-            hold.overruled
-        ):
+        accepted = self._items_by_key.get(hold.key)
+        is_newer_version = (
+            item is not None
+            and accepted is not None
+            and self._order.is_older(accepted, item)
+        )
+        if self._published_by_key.get(hold.key) != hold.overruled:
+            # The key was written or removed between the two views' readings.
+            return is_newer_version and self._order.never_reverts(item)
+        if hold.key in self._holds:
+            return is_newer_version
+        removed = self._removals.find(hold.key)
+        if accepted is not None or removed is None:
             return True
-        return kept is not None and self._order.is_older(current, kept)
-
-    def _adopt(self, kept, hold, now_s):
-        """Take over the state of a key that a peer holds."""
-        if kept is None:
-            self._delete(hold.key, now_s)
-        else:
-            self._items_by_key[hold.key] = kept
-        self._expiring_keys.discard(hold.key)
-        self._holds.start(
-            hold.key,
-            overruled=hold.overruled,
-            end_s=now_s + hold.remaining_s,
+        return not (
+            self._removals.happened_in(self._as_of.epoch, hold.key)
+            or item is None
+            or self._is_outdated(item, removed)
         )
 
-    def _hold(self, accepted, overruled, now_s):
-        """Keep the state of the item ``accepted`` for its hold time."""
-        self._holds.start(
-            accepted.key,
-            overruled=overruled,
-            end_s=now_s + self._order.hold_s(accepted),
+    def _is_outdated(self, item, removed):
+        """Return whether an item was known when ``removed`` was removed."""
+        return item.is_same_write(removed) or self._order.is_older(
+            item, removed
         )
 
-    def _store(self, item):
-        self._items_by_key[item.key] = item
-        self._holds.end(item.key)
-        self._removals.discard(item.key)
+    def _hold(self, accepted, now_s):
+        """Keep an accepted item for the hold time of its kind."""
+        end_s = now_s + self._order.hold_s(accepted)
+        self._holds.start(accepted.key, item=accepted, end_s=end_s)
+
+    def _hold_removal(self, removed, now_s):
+        """Keep the key of a removed item absent for its hold time."""
+        end_s = now_s + self._order.hold_s(removed)
+        self._holds.start(removed.key, item=None, end_s=end_s)
+
+    def _choose_item(self, key):
+        """Return the item that is to be in force for a key, or None."""
+        hold = self._holds.find(key)
+        if hold is not None:
+            return hold.item
+        published = self._published_by_key.get(key)
+        if published is not None:
+            return published
+        lapse = self._lapses.find(key)
+        return None if lapse is None else lapse.item
+
+    def _refresh_all(self, keys, now_s):
+        changed = False
+        for key in keys:
+            changed = self._refresh(key, now_s) or changed
+        return changed
 
-    def _delete(self, key, now_s):
-        self._expiring_keys.discard(key)
-        item = self._items_by_key.pop(key, None)
+    def _refresh(self, key, now_s):
+        """Put the chosen item of a key in force; return if it is another."""
+        accepted = self._items_by_key.get(key)
+        item = self._choose_item(key)
         if item is None:
+            if accepted is None:
+                return False
+            del self._items_by_key[key]
+            self._removals.record(
+                accepted, epoch=self._as_of.epoch, now_s=now_s
+            )
+            return True
+        self._removals.discard(key)
+        if accepted is not None and item.is_same_write(accepted):
             return False
-        self._removals.record(item, epoch=self._as_of.epoch, now_s=now_s)
+        self._items_by_key[key] = item
         return True
 
-    def _remove(self, keys, now_s):
-        in_grace = self._grace_end_s is not None and (
-            now_s < self._grace_end_s
-        )
-        changed = False
-        for key in keys:
-            if key not in self._items_by_key:
-                continue
-            if in_grace and self._order.is_leased(key):
-                self._expiring_keys.add(key)
-                continue
-            changed = self._delete(key, now_s) or changed
-        return changed
+
+def _find_published(snapshot):
+    """Return what the platform publishes, by key, as of a snapshot."""
+    published_by_key = {item.key: item for item in snapshot.items}
+    for hold in snapshot.holds:
+        published_by_key.pop(hold.key, None)
+        if hold.overruled is not None:
+            published_by_key[hold.key] = hold.overruled
+    return published_by_key
--- a/packages/savoryyoke/tests/published/test_restores.py
+++ b/packages/savoryyoke/tests/published/test_restores.py
@@ -179,6 +179,24 @@
         self.view.apply(self.platform.remove('t3'), now_s=4.0)
         self.assertNotIn('t3', read_values(self.view))
 
+    def test_removal_that_a_snapshot_shows_ends_a_hold(self):
+        # An entry whose watch was cut learns of the removal by a snapshot.
+        self.restore()
+        self.platform.remove('t1')
+        self.view.apply(self.platform.read(), now_s=1.5)
+        self.view.expire(now_s=99.0)
+        self.assertNotIn('t1', read_values(self.view))
+
+    def test_values_written_again_with_their_revisions_stay(self):
+        # The restored platform gives the same numbers out again.
+        self.restore()
+        for key, version in self.accepted.items():
+            self.platform.write(key, version)
+        self.platform.remove('t1')
+        self.view.apply(self.platform.read(), now_s=1.5)
+        self.view.expire(now_s=99.0)
+        self.assertEqual(self.accepted, read_values(self.view))
+
     def test_reading_of_an_earlier_epoch_has_no_effect(self):
         earlier_reading = self.platform.read()
         self.restore()
@@ -232,6 +250,19 @@
         self.assertEqual(self.view.as_of, self.peer.as_of)
         self.assertEqual(15, read_values(self.peer)[CONFIG])
 
+    def test_known_removal_is_not_undone_by_a_peer_that_missed_it(self):
+        # The peer holds t4, which the restored platform lacks.
+        self.peer.apply(self.platform.read(), now_s=0.5)
+        self.platform.write('t4', 1)
+        self.peer.apply(self.platform.read(), now_s=0.6)
+        self.view.apply(self.platform.read(), now_s=0.6)
+        self.view.apply(self.platform.remove('t4'), now_s=0.7)
+        self.restore()
+        self.peer.apply(self.platform.read(), now_s=1.0)
+        self.assertIn('t4', read_values(self.peer))
+        self.view.apply(self.peer.take_snapshot(now_s=1.1), now_s=1.1)
+        self.assertNotIn('t4', read_values(self.view))
+
     def test_held_value_that_was_removed_since_is_not_adopted(self):
         self.restore()
         snapshot = self.view.take_snapshot(now_s=1.1)
