Hand on when items lapse with the view of an entry

Callers: an entry that copied a peer's view in the two seconds after that peer's outage took over targets that had left, and kept them for good.

Only items that the first reading after an outage lists, or that are older, may have lapsed. Overrides don't end while the platform is lost. The field is new in the message, so older builds ignore it.

--- a/packages/savoryyoke-gateway/savoryyoke_gateway/following.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/following.py
@@ -134,6 +134,7 @@
                 as_of=self._published_state.as_of,
             )
         elif not was_lost:
+            self._published_state.begin_outage()
             logs.write_event(
                 'platform_lost',
                 level='warning',
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/published_state.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/published_state.py
@@ -116,7 +116,7 @@
         """Apply a reading, which is a ``Snapshot`` or ``Changes``.
 
         ``source`` names its origin, for the log. ``after_outage`` is true
-        for the first successful reading after failed ones.
+        for the first successful reading after an outage of the platform.
         """
         previous_as_of = self.as_of
         changed = self._view.apply(
@@ -127,8 +127,12 @@
         if changed:
             self._interpret(source)
 
+    def begin_outage(self):
+        """Expect leases to expire, as the platform can't be read."""
+        self._view.begin_outage()
+
     def expire(self):
-        """Remove items whose grace period after lease expiry has ended."""
+        """Remove or replace items that were kept for a time that is over."""
         if self._view.expire(now_s=self._clock()):
             self._interpret('lapse')
 
--- a/packages/savoryyoke-gateway/tests/test_following.py
+++ b/packages/savoryyoke-gateway/tests/test_following.py
@@ -46,6 +46,9 @@
         self.as_of = max(self.as_of, reading.as_of)
         self.after_outage.append(after_outage)
 
+    def begin_outage(self):
+        pass
+
 
 class ForgetfulSource:
     """Answer snapshots; report the history as lost for all changes."""
--- a/packages/savoryyoke-wire/savoryyoke_wire/fleet.capnp
+++ b/packages/savoryyoke-wire/savoryyoke_wire/fleet.capnp
@@ -77,10 +77,16 @@
   overruled @2 :Item;
 }
 
+struct Lapse {
+  key @0 :Text;
+  remainingS @1 :Float64;
+}
+
 struct Snapshot {
   version @0 :UInt16;
   asOf @1 :UInt64;
   items @2 :List(Item);
   epoch @3 :UInt64;
   holds @4 :List(Hold);
+  lapses @5 :List(Lapse);
 }
--- a/packages/savoryyoke-wire/savoryyoke_wire/fleet.py
+++ b/packages/savoryyoke-wire/savoryyoke_wire/fleet.py
@@ -141,6 +141,10 @@
         item.remainingS = hold.remaining_s
         if hold.overruled is not None:
             _write_item(item.init('overruled'), hold.overruled)
+    lapses = message.init('lapses', len(snapshot.lapses))
+    for item, lapse in zip(lapses, snapshot.lapses, strict=True):
+        item.key = lapse.key
+        item.remainingS = lapse.remaining_s
     return message.to_bytes_packed()
 
 
@@ -166,6 +170,10 @@
                 )
                 for hold in message.holds
             ),
+            lapses=tuple(
+                models.Lapse(key=lapse.key, remaining_s=lapse.remainingS)
+                for lapse in message.lapses
+            ),
         )
     except (capnp.KjException, UnicodeDecodeError) as error:
         raise _build_malformed_error(error) from error
--- a/packages/savoryyoke-wire/tests/test_fleet.py
+++ b/packages/savoryyoke-wire/tests/test_fleet.py
@@ -70,6 +70,7 @@
         models.Hold(key='a', remaining_s=math.inf, overruled=ITEM),
         models.Hold(key='b', remaining_s=1.5, overruled=None),
     ),
+    lapses=(models.Lapse(key='c', remaining_s=0.5),),
 )
 
 
--- a/packages/savoryyoke/savoryyoke/published/models.py
+++ b/packages/savoryyoke/savoryyoke/published/models.py
@@ -68,16 +68,31 @@
     overruled: Item | None
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Lapse:
+    """Report that a view keeps an item whose lease expired in an outage.
+
+    The platform lacks the key. The view removes the item in ``remaining_s``
+    seconds unless it is published again.
+    """
+
+    key: str
+    remaining_s: float
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Snapshot:
-    """Hold all published values as of a revision.
+    """Hold all values as of a revision.
 
-    ``holds`` are those of the peer that sent the snapshot.
+    ``items`` are those that the platform publishes or, in the snapshot of a
+    peer, those that are in force there. ``holds`` and ``lapses`` tell how the
+    latter differ from what the platform publishes.
     """
 
     as_of: Revision
     items: tuple[Item, ...]
     holds: tuple[Hold, ...] = ()
+    lapses: tuple[Lapse, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/savoryyoke/savoryyoke/published/view.py
+++ b/packages/savoryyoke/savoryyoke/published/view.py
@@ -31,7 +31,9 @@
         self._items_by_key = {}
         self._as_of = models.NO_REVISION
         self._last_read_s = None
+        self._is_platform_lost = False
         self._grace_end_s = -math.inf
+        self._grace_as_of = models.NO_REVISION
         self._lapses = holds.Overrides()
         self._holds = holds.Overrides()
         self._removals = holds.Removals()
@@ -60,6 +62,7 @@
     def take_snapshot(self, *, now_s):
         """Return a snapshot of the whole view, to be sent to a peer."""
         remaining_s_by_key = self._holds.remaining_s_by_key(now_s=now_s)
+        lapses = self._lapses.remaining_s_by_key(now_s=now_s)
         return models.Snapshot(
             as_of=self._as_of,
             items=tuple(map(self._choose_item, self._items_by_key)),
@@ -71,8 +74,16 @@
                 )
                 for key, remaining_s in remaining_s_by_key.items()
             ),
+            lapses=tuple(
+                models.Lapse(key=key, remaining_s=remaining_s)
+                for key, remaining_s in lapses.items()
+            ),
         )
 
+    def begin_outage(self):
+        """Expect leases to expire, as the platform can't be read."""
+        self._is_platform_lost = True
+
     def apply(self, reading, *, now_s, after_outage=False):
         """Apply a reading; return whether any item has changed.
 
@@ -85,7 +96,7 @@
         is_outdated = reading.as_of < self._as_of
         if not is_outdated:
             if after_outage:
-                self._begin_grace(now_s)
+                self._begin_grace(reading, now_s)
             self._last_read_s = now_s
             changed = self._apply(reading, now_s)
             self._as_of = reading.as_of
@@ -95,15 +106,21 @@
     def expire(self, *, now_s):
         """End overrides whose time is over; return if any item changed."""
         self._removals.forget_old(now_s=now_s)
+        if self._is_platform_lost:
+            # Owners can't write their items again now.
+            return False
         expired_keys = [
             *self._holds.take_expired(now_s=now_s),
             *self._lapses.take_expired(now_s=now_s),
         ]
         return self._refresh_all(expired_keys, now_s)
 
-    def _begin_grace(self, now_s):
+    def _begin_grace(self, reading, now_s):
+        self._is_platform_lost = False
+        self._grace_as_of = reading.as_of
         self._grace_end_s = now_s + conf.LEASE_GRACE_S
         self._lapses.extend(end_s=self._grace_end_s)
+        self._holds.extend(end_s=self._grace_end_s)
 
     @functools.singledispatchmethod
     def _apply(self, reading, now_s):
@@ -113,8 +130,10 @@
     def _(self, reading: models.Snapshot, now_s):
         published_by_key = _find_published(reading)
         if reading.as_of.epoch > self._as_of.epoch:
-            return self._begin_epoch(published_by_key, now_s)
-        return self._replace_published(published_by_key, reading, now_s)
+            changed = self._begin_epoch(published_by_key, now_s)
+        else:
+            changed = self._replace_published(published_by_key, reading, now_s)
+        return self._adopt_lapses(reading, now_s) or changed
 
     @_apply.register
     def _(self, reading: models.Changes, now_s):
@@ -166,11 +185,18 @@
         The pages of a snapshot are read one after the other, so the view may
         know of changes that are newer than its own revision.
         """
+        lapse_end_s_by_key = {}
+        if self._is_platform_lost:
+            lapse_end_s_by_key = {
+                lapse.key: now_s + lapse.remaining_s
+                for lapse in reading.lapses
+            }
         changed = False
         for key, current in tuple(self._published_by_key.items()):
             if key in published_by_key or current.revision > reading.as_of:
                 continue
-            changed = self._remove(key, now_s) or changed
+            lapse_end_s = lapse_end_s_by_key.get(key, -math.inf)
+            changed = self._remove(key, now_s, lapse_end_s) or changed
         for key, item in published_by_key.items():
             current = self._published_by_key.get(key)
             if current is None or item.revision > current.revision:
@@ -200,20 +226,48 @@
             and self._order.is_older(item, accepted)
         )
 
-    def _remove(self, key, now_s):
-        """Apply the removal of a key; return whether an item has changed."""
+    def _remove(self, key, now_s, lapse_end_s=-math.inf):
+        """Apply the removal of a key; return whether an item has changed.
+
+        ``lapse_end_s`` is when the item lapses at a peer.
+        """
         published = self._published_by_key.pop(key, None)
         self._holds.end(key)
         accepted = self._items_by_key.get(key)
-        if (
-            published is not None
-            and accepted is not None
-            and now_s < self._grace_end_s
-            and self._order.is_leased(key)
-        ):
-            self._lapses.start(key, item=accepted, end_s=self._grace_end_s)
+        if published is not None and accepted is not None:
+            if self._may_have_lapsed(published):
+                lapse_end_s = max(lapse_end_s, self._grace_end_s)
+            if now_s < lapse_end_s:
+                self._lapses.start(key, item=accepted, end_s=lapse_end_s)
         return self._refresh(key, now_s)
 
+    def _may_have_lapsed(self, published):
+        """Return whether an item was removed because of the last outage.
+
+        The owner of an item that was written after the outage can renew its
+        lease.
+        """
+        return (
+            self._order.is_leased(published.key)
+            and published.revision <= self._grace_as_of
+        )
+
+    def _adopt_lapses(self, reading, now_s):
+        """Take over lapsing items of a peer that this view doesn't know."""
+        items_by_key = {item.key: item for item in reading.items}
+        adopted_keys = []
+        for lapse in reading.lapses:
+            item = items_by_key.get(lapse.key)
+            if item is None or self._choose_item(lapse.key) is not None:
+                continue
+            removed = self._removals.find(lapse.key)
+            if removed is not None and self._is_outdated(item, removed):
+                continue
+            end_s = now_s + lapse.remaining_s
+            self._lapses.start(lapse.key, item=item, end_s=end_s)
+            adopted_keys.append(lapse.key)
+        return self._refresh_all(adopted_keys, now_s)
+
     def _adopt_holds(self, reading, now_s):
         """Take over what a peer holds against the restored platform."""
         if (
@@ -311,6 +365,8 @@
 def _find_published(snapshot):
     """Return what the platform publishes, by key, as of a snapshot."""
     published_by_key = {item.key: item for item in snapshot.items}
+    for lapse in snapshot.lapses:
+        published_by_key.pop(lapse.key, None)
     for hold in snapshot.holds:
         published_by_key.pop(hold.key, None)
         if hold.overruled is not None:
--- a/packages/savoryyoke/tests/published/test_view.py
+++ b/packages/savoryyoke/tests/published/test_view.py
@@ -155,12 +155,64 @@
         self.view.apply(build_changes(8), now_s=12.1)
         self.assertNotIn('t1', self.view.items_by_key)
 
+    def test_removal_of_an_item_written_since_the_outage_is_immediate(self):
+        self.recover()
+        self.view.apply(build_changes(9, t3=9), now_s=10.5)
+        self.view.apply(build_changes(10, 't3'), now_s=11.0)
+        self.assertNotIn('t3', self.view.items_by_key)
+
+    def test_grace_period_lasts_while_the_platform_is_away_again(self):
+        self.recover()
+        self.view.begin_outage()
+        self.assertFalse(self.view.expire(now_s=15.0))
+        self.assertIn('t1', self.view.items_by_key)
+        self.view.apply(
+            build_snapshot(9, config=3), now_s=16.0, after_outage=True
+        )
+        self.assertIn('t1', self.view.items_by_key)
+        self.view.expire(now_s=16.0 + conf.LEASE_GRACE_S)
+        self.assertNotIn('t1', self.view.items_by_key)
+
     def test_removal_after_the_grace_period_is_immediate(self):
         self.recover()
         self.view.apply(build_changes(9, t1=9, t2=9), now_s=11.0)
         self.view.apply(build_changes(10, 't1'), now_s=13.0)
         self.assertNotIn('t1', self.view.items_by_key)
 
+    def test_copied_items_expire_with_those_of_the_peer(self):
+        self.recover()
+        copy = build_view()
+        copy.apply(self.view.take_snapshot(now_s=11.0), now_s=11.0)
+        self.assertIn('t1', copy.items_by_key)
+        copy.expire(now_s=10.0 + conf.LEASE_GRACE_S)
+        self.assertEqual({'config'}, set(copy.items_by_key))
+
+    def test_peer_in_the_grace_period_brings_no_removed_item_back(self):
+        reader = build_view()
+        reader.apply(build_snapshot(5, config=3, t1=4, t2=5), now_s=0.0)
+        reader.apply(build_changes(7, 't1', 't2'), now_s=9.0)
+        self.recover()
+        reader.apply(self.view.take_snapshot(now_s=10.1), now_s=10.1)
+        self.assertEqual({'config'}, set(reader.items_by_key))
+
+    def test_removal_that_a_peer_reports_in_its_grace_period_is_immediate(
+        self,
+    ):
+        # The reader has had no outage, so the platform was there all along.
+        reader = build_view()
+        reader.apply(build_snapshot(5, config=3, t1=4, t2=5), now_s=0.0)
+        self.recover()
+        reader.apply(self.view.take_snapshot(now_s=10.1), now_s=10.1)
+        self.assertEqual({'config'}, set(reader.items_by_key))
+
+    def test_items_that_lapse_at_a_peer_are_kept_in_an_outage(self):
+        reader = build_view()
+        reader.apply(build_snapshot(5, config=3, t1=4, t2=5), now_s=0.0)
+        reader.begin_outage()
+        self.recover()
+        reader.apply(self.view.take_snapshot(now_s=10.1), now_s=10.1)
+        self.assertIn('t1', reader.items_by_key)
+
     def test_removal_of_an_item_without_lease_is_immediate(self):
         self.view.apply(
             build_snapshot(8, t1=4, t2=5), now_s=10.0, after_outage=True
