Take an id of a stream's event with many digits for text

Callers: a stream whose target sent such an id, or that its caller resumed after one, would have ended with an error of the gateway. Not seen on a deployment; found on the paths related to the odd port.

Cause: int() raises ValueError beyond 4300 digits.

Test: test_id_with_many_digits_is_taken_for_text failed before.

--- a/packages/savoryyoke/savoryyoke/forwarding/conf.py
+++ b/packages/savoryyoke/savoryyoke/forwarding/conf.py
@@ -9,5 +9,8 @@
 # is started.
 SHORTEST_TRY_S = 0.03
 
+# Ids of events with more digits are taken for text.
+EVENT_NUMBER_DIGITS = 19
+
 # Limits the size of one event of a stream. The users' events are below 1 KB.
 EVENT_LIMIT_BYTES = 1024 * 1024
--- a/packages/savoryyoke/savoryyoke/forwarding/framing.py
+++ b/packages/savoryyoke/savoryyoke/forwarding/framing.py
@@ -79,6 +79,9 @@
 
 
 def _to_number(event_id):
+    """Return the number that an id consists of, or None."""
     if event_id is None or not event_id.isdecimal():
         return None
+    if len(event_id) > conf.EVENT_NUMBER_DIGITS:
+        return None
     return int(event_id)
--- a/packages/savoryyoke/tests/forwarding/test_framing.py
+++ b/packages/savoryyoke/tests/forwarding/test_framing.py
@@ -45,6 +45,15 @@
         completed = framing.EventSplitter().feed(b'event: t\nid:9\ndata:\n\n')
         self.assertEqual(['9'], [event.event_id for event in completed])
 
+    def test_id_with_many_digits_is_taken_for_text(self):
+        # int() refuses more than 4300 digits.
+        long_id = '9' * 5000
+        splitter = framing.EventSplitter(last_event_id=long_id)
+        completed = splitter.feed(f'id: 1\n\nid: {long_id}\n\n'.encode())
+        self.assertEqual(
+            ['1', long_id], [event.event_id for event in completed]
+        )
+
     def test_endless_event_is_refused(self):
         splitter = framing.EventSplitter()
         with self.assertRaises(exceptions.MalformedStream):
