Refuse numbers of callers that can't be computed with

A number of tokens beyond the range of floats raised OverflowError in the entry daemon. Found on the paths related to the odd port.

--- a/packages/savoryyoke-entry/savoryyoke_entry/conf.py
+++ b/packages/savoryyoke-entry/savoryyoke_entry/conf.py
@@ -22,6 +22,8 @@
 KEY_HEADER = 'idempotency-key'
 TIMEOUT_HEADER = 'savoryyoke-timeout-s'
 SERVER_ERROR_STATUS = 500
+# No request generates more tokens than this.
+COST_LIMIT_TOKENS = 10**9
 ISOLATION_RETRY_S = 0.05
 # A call stops waiting for another suspect's outcome when less time is left.
 ISOLATION_RESERVE_S = 0.2
--- a/packages/savoryyoke-entry/savoryyoke_entry/requests.py
+++ b/packages/savoryyoke-entry/savoryyoke_entry/requests.py
@@ -190,7 +190,7 @@
 def _estimate_cost(document):
     count = document.get('max_tokens')
     if isinstance(count, int) and count > 0:
-        return float(count)
+        return float(min(count, conf.COST_LIMIT_TOKENS))
     return 1.0
 
 
