Count only answers in the latency of a target

Cause: tries that failed counted in the average latency. Failing within a millisecond outweighed the penalty for failures, which is at most a factor of five.

--- a/packages/savoryyoke/savoryyoke/placement/health.py
+++ b/packages/savoryyoke/savoryyoke/placement/health.py
@@ -21,7 +21,7 @@
 
     @property
     def latency_s(self):
-        """Return the moving average of latencies; None before the first."""
+        """Return the average latency of answers; None before the first."""
         return self._latency_s
 
     def failure_rate(self, *, now_s):
@@ -35,7 +35,10 @@
         return now_s < self._avoid_until_s
 
     def record(self, result, *, latency_s, now_s):
-        """Record the result of a try."""
+        """Record the result of a try.
+
+        ``latency_s`` is the time to the head of its answer, or None.
+        """
         # A target that requests a pause is busy, not faulty.
         if result in (_Result.WITHDRAWN, _Result.PAUSED):
             return
@@ -43,7 +46,8 @@
         failure = 1.0 if result in _FAILURE_RESULTS else 0.0
         self._failure_rate = rate + conf.RESULT_WEIGHT * (failure - rate)
         self._updated_s = now_s
-        if latency_s is not None:
+        # Failing quickly makes a target no faster.
+        if latency_s is not None and result is _Result.ANSWERED:
             self._record_latency(latency_s)
         self._avoid_after(result, now_s)
 
--- a/packages/savoryyoke/tests/placement/test_dispatcher.py
+++ b/packages/savoryyoke/tests/placement/test_dispatcher.py
@@ -176,6 +176,7 @@
         self.assertEqual({'t2'}, set(chosen))
 
     def test_failure_rate_decays(self):
+        self.end('t1', latency_s=0.01)
         for _ in range(6):
             self.end('t1', result=_Result.FAILED, latency_s=0.01)
             self.end('t2', latency_s=0.0101)
