Limit what all answers hold together

Ruled out: a lower limit for one answer. Answers of up to 16 MiB were delivered before, and any limit times the requests in flight has no bound.

Change: BufferAccount owns the sizes of all buffered answers. Above 32 MiB in sum, those above an equal share are given up; the others go on.

--- a/packages/savoryyoke-edge/savoryyoke_edge/exceptions.py
+++ b/packages/savoryyoke-edge/savoryyoke_edge/exceptions.py
@@ -9,5 +9,9 @@
     """Report that a connection ended or could not be opened."""
 
 
+class BodyTooLarge(EdgeError):
+    """Report an answer whose body exceeds the limit."""
+
+
 class PlatformUnavailable(EdgeError):
     """Report that the platform's service returned no usable answer."""
--- a/packages/savoryyoke-edge/savoryyoke_edge/platform.py
+++ b/packages/savoryyoke-edge/savoryyoke_edge/platform.py
@@ -9,6 +9,7 @@
 import anyio
 import httpcore
 
+from savoryyoke_edge import bodies
 from savoryyoke_edge import exceptions
 
 ANSWER_LIMIT_BYTES = 1024 * 1024 + 64 * 1024
@@ -105,7 +106,13 @@
                 ) as response:
                     if response.status == 304:
                         return None
-                    body = await _read_limited(response)
+                    body = await bodies.read_limited(
+                        response, limit_bytes=ANSWER_LIMIT_BYTES
+                    )
+        except exceptions.BodyTooLarge as error:
+            raise exceptions.PlatformUnavailable(
+                'the answer is too large'
+            ) from error
         except (httpcore.NetworkError, httpcore.ProtocolError) as error:
             raise exceptions.PlatformUnavailable(str(error)) from error
         except (TimeoutError, OSError, httpcore.TimeoutException) as error:
@@ -120,12 +127,3 @@
             raise exceptions.PlatformUnavailable(
                 'the answer is not JSON'
             ) from error
-
-
-async def _read_limited(response):
-    body = bytearray()
-    async for chunk in response.aiter_stream():
-        body += chunk
-        if len(body) > ANSWER_LIMIT_BYTES:
-            raise exceptions.PlatformUnavailable('the answer is too large')
-    return bytes(body)
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/calls.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/calls.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from savoryyoke.catalogue import models as catalogue_models
+from savoryyoke.forwarding import buffers as forwarding_buffers
 from savoryyoke.forwarding import decisions
 from savoryyoke.forwarding import ledger as forwarding_ledger
 from savoryyoke.placement import decisions as placement_decisions
@@ -18,6 +19,7 @@
     ``arrived_s`` and ``deadline_s`` are times on the entry's clock,
     ``waited_s`` is the time that the request waited for a target.
     ``first_failure_reason`` states how the first unsuccessful try ended.
+    ``buffers`` account for the answers that it holds.
     ``content_digest`` identifies the content of the request; later attempts
     of the caller have the same digest. ``prompt_part_digests`` identify the
     parts of its prompt that other requests share. Targets that run one of
@@ -38,6 +40,9 @@
     deadline_s: float
     placement_id: str
     answer: requests.Answer | None = None
+    buffers: list[forwarding_buffers.Buffer] = dataclasses.field(
+        default_factory=list
+    )
     target_ids: list[str] = dataclasses.field(default_factory=list)
     waited_s: float = 0.0
     events_sent: int = 0
@@ -77,10 +82,11 @@
     or last brought events. ``is_awaiting_data`` is true while no received data
     is left to forward. ``move`` is the placement at which a stream continues
     that leaves its target. ``at_fault_target_id`` is the target that a refusal
-    names as its cause.
+    names as its cause. ``buffer`` accounts for what is held of the answer.
     """
 
     started_s: float
+    buffer: forwarding_buffers.Buffer
     sent_s: float | None = None
     head_s: float | None = None
     result: placement_models.TryResult = placement_models.TryResult.WITHDRAWN
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/conf.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/conf.py
@@ -50,6 +50,11 @@
 # Limit on the body of an answer that is buffered until it is complete.
 ANSWER_LIMIT_BYTES = 16 * 1024 * 1024
 
+# Limit on what all buffered answers hold together, with the incomplete events
+# of streams. The smallest entry VMs have 200 MB, of which an idle entry uses
+# 50, and an answer is copied when it is sent.
+BUFFERS_LIMIT_BYTES = 32 * 1024 * 1024
+
 # Share of the objective that a stream may wait for a target. The rest is
 # needed for its first event.
 STREAM_WAIT_SHARE = 0.5
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/daemon.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/daemon.py
@@ -114,19 +114,20 @@
                 random_fraction=random_fraction,
             ),
         )
+        self._forwarder = forwarder.Forwarder(
+            published_state=self.published_state,
+            dispatching=self._dispatching,
+            allowances=self._allowances,
+            translator=translator,
+            metrics=self._metrics,
+            crashes=self._crashes,
+            suspects=self.suspects,
+            stopping=self._stopping,
+            random_fraction=random_fraction,
+            clock=clock,
+        )
         self._application = application.ForwardingApplication(
-            forwarder=forwarder.Forwarder(
-                published_state=self.published_state,
-                dispatching=self._dispatching,
-                allowances=self._allowances,
-                translator=translator,
-                metrics=self._metrics,
-                crashes=self._crashes,
-                suspects=self.suspects,
-                stopping=self._stopping,
-                random_fraction=random_fraction,
-                clock=clock,
-            ),
+            forwarder=self._forwarder,
             translator=translator,
             published_state=self.published_state,
             stopping=self._stopping,
@@ -312,6 +313,10 @@
                     'Requests that wait for a target.',
                     self._dispatching.queue_length,
                 ),
+                'buffered_answer_bytes': (
+                    'Size of the answers of targets that are buffered.',
+                    self._forwarder.buffered_bytes,
+                ),
                 'rate_limited_targets': (
                     'Targets that limit their requests per second.',
                     self._dispatching.rate_limited_count,
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/forwarder.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/forwarder.py
@@ -4,6 +4,7 @@
 
 import anyio
 
+from savoryyoke.forwarding import buffers as forwarding_buffers
 from savoryyoke.forwarding import conf as forwarding_conf
 from savoryyoke.forwarding import decisions
 from savoryyoke.forwarding import events
@@ -67,6 +68,9 @@
             metrics=metrics,
             clock=clock,
         )
+        self._buffers = forwarding_buffers.BufferAccount(
+            limit_bytes=conf.BUFFERS_LIMIT_BYTES
+        )
         self._tries = hedging.HedgedTries(
             tries=tries.TryRunner(
                 dispatching=dispatching,
@@ -76,6 +80,7 @@
                 place_move=self._place_move,
                 crashes=crashes,
                 suspects=suspects,
+                buffers=self._buffers,
                 clock=clock,
             ),
             place_hedge=self._place_hedge,
@@ -84,6 +89,10 @@
         self._spent_times = lateness.SpentTimeEstimator()
         self._placement_numbers = itertools.count(1)
 
+    def buffered_bytes(self):
+        """Return the size of all answers that are buffered."""
+        return self._buffers.total_bytes
+
     async def serve(self, request, body, channel, *, arrived_s):
         """Answer a request whose body has been read completely.
 
@@ -113,6 +122,8 @@
         try:
             await self._serve_until_deadline(call)
         finally:
+            for buffer in call.buffers:
+                buffer.release()
             self._reporter.report_request_end(
                 call,
                 retry_level=self._allowances.filled_share(call.service_name),
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/tries.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/tries.py
@@ -16,6 +16,8 @@
 from savoryyoke_gateway import requests
 
 _Result = placement_models.TryResult
+# The answers of these tries are held until they are sent to the caller.
+_BUFFERED_RESULTS = (_Result.ANSWERED, _Result.FAILED)
 
 
 class TryRunner:
@@ -23,7 +25,8 @@
 
     ``place_retry(call, decision)`` returns a further placement, or None.
     ``place_move(call, decision)`` waits for a free target that a stream on a
-    slow target can move to and returns the placement, or None.
+    slow target can move to and returns the placement, or None. ``buffers`` is
+    the ``BufferAccount`` of all answers.
     """
 
     def __init__(
@@ -36,6 +39,7 @@
         place_move,
         crashes,
         suspects,
+        buffers,
         clock,
     ):
         self._dispatching = dispatching
@@ -45,6 +49,7 @@
         self._place_move = place_move
         self._crashes = crashes
         self._suspects = suspects
+        self._buffers = buffers
         self._clock = clock
 
     async def run(self, call, placement, resume_after):
@@ -57,7 +62,10 @@
         call.target_ids.append(target.target_id)
         self._reporter.report_placement(call, placement)
         exchange = exchanges.Exchange(target=target)
-        attempt = calls.Attempt(started_s=self._clock())
+        attempt = calls.Attempt(
+            started_s=self._clock(), buffer=self._buffers.open()
+        )
+        call.buffers.append(attempt.buffer)
         try:
             if call.is_stream and call.route.may_repeat:
                 return await self._exchange_with_watch(
@@ -68,6 +76,8 @@
             )
         finally:
             await exchange.aclose()
+            if call.is_stream or attempt.result not in _BUFFERED_RESULTS:
+                attempt.buffer.release()
             self._end_try(call, target, attempt)
 
     async def _exchange_with_watch(
@@ -232,6 +242,7 @@
             body += part
             if len(body) > conf.ANSWER_LIMIT_BYTES:
                 raise exceptions.ExchangeBroken('too-large')
+            _resize_buffer(attempt, len(body))
         answer = requests.Answer(
             status=head.status, headers=head.headers, body=bytes(body)
         )
@@ -257,6 +268,7 @@
         splitter = framing.EventSplitter(last_event_id=resume_after)
         async for part in exchange.read():
             complete_events = _split_events(splitter, part)
+            _resize_buffer(attempt, splitter.buffered_bytes)
             if not complete_events:
                 continue
             attempt.is_awaiting_data = False
@@ -363,6 +375,17 @@
     return _Result.REFUSED
 
 
+def _resize_buffer(attempt, size_bytes):
+    """Account for what a try has buffered.
+
+    Raise ``ExchangeBroken`` if all answers together take too much memory.
+    """
+    try:
+        attempt.buffer.resize(size_bytes)
+    except forwarding_exceptions.BuffersFull as error:
+        raise exceptions.ExchangeBroken('buffers-full') from error
+
+
 def _split_events(splitter, part):
     """Return the events that ``part`` completes.
 
--- a/packages/savoryyoke/savoryyoke/forwarding/framing.py
+++ b/packages/savoryyoke/savoryyoke/forwarding/framing.py
@@ -41,6 +41,11 @@
         """Return whether an incomplete event is buffered."""
         return bool(self._buffer.strip())
 
+    @property
+    def buffered_bytes(self):
+        """Return the size of the incomplete event."""
+        return len(self._buffer)
+
     def feed(self, data):
         """Add received bytes and return the events that they complete.
 
