Complete a map change whose orders may still be under way

Cause: the leader after the restart released the hold, as no rank was armed and no directive of the change was known. It didn't look at may_be_armed of the reports. The late order then armed one rank alone for the held pass.

Ruled out: waiting until no order can be under way. Orders may be 12 s late, and the group would be held all that time.

Change: if an order may be under way and all ranks have prepared the same map, the change is completed for the held pass; arming requires that all have prepared it, so otherwise there is no such order. An agent that ordered the copy of the prepared map itself knows all orders to use it, so a group whose agents have just started is released as quickly as before.

--- a/packages/savoryyoke/savoryyoke/groups/rollout/agent.py
+++ b/packages/savoryyoke/savoryyoke/groups/rollout/agent.py
@@ -30,6 +30,7 @@
         self._is_busy = False
         self._last_order = None
         self._last_arm_order = None
+        self._last_copy_order = None
         self._last_unknown_step = -1
         self._answered_copy_order = None
 
@@ -49,10 +50,15 @@
 
         An order for a pass that has begun has no effect. The orders of an
         agent that ran before this one are for passes that were at most
-        ``MAX_PASSES_AHEAD`` ahead.
+        ``MAX_PASSES_AHEAD`` ahead, and for maps that were prepared then.
         """
         state, order = self._state, self._last_arm_order
-        if state is None or state.step <= self._last_unknown_step:
+        if state is None:
+            return True
+        if (
+            state.step <= self._last_unknown_step
+            and not self._has_ordered_prepared_map()
+        ):
             return True
         return (
             order is not None
@@ -60,6 +66,18 @@
             and order.step > state.step
         )
 
+    def _has_ordered_prepared_map(self):
+        """Return whether this agent ordered to prepare the engine's next map.
+
+        No agent before it can have given an order to use that map.
+        """
+        order = self._last_copy_order
+        return (
+            order is not None
+            and order.epoch == self._state.epoch
+            and order.expert_map.version == self._state.prepared
+        )
+
     @property
     def sequence(self):
         """Return the sequence number of the newest accepted directive."""
@@ -147,6 +165,8 @@
         self._last_order = order
         if isinstance(order, decisions.Arm):
             self._last_arm_order = order
+        elif isinstance(order, decisions.Prepare):
+            self._last_copy_order = order
         return order
 
     def _has_matching_directive(self):
--- a/packages/savoryyoke/savoryyoke/groups/rollout/leader.py
+++ b/packages/savoryyoke/savoryyoke/groups/rollout/leader.py
@@ -188,6 +188,10 @@
         armed = next((state.armed for state in states if state.armed), None)
         if armed is not None:
             return armed
+        if self._has_unknown_orders():
+            # An order of an agent that has ended may still arm its engine for
+            # the held pass, with the map that all of them have prepared.
+            return _find_prepared_version(states)
         directive = self._previous_directive
         if directive is None or directive.epoch != holding_state.epoch:
             return _NO_VERSION
@@ -199,6 +203,17 @@
         prepared = all(state.prepared == directive.version for state in states)
         return directive.version if prepared else _NO_VERSION
 
+    def _has_unknown_orders(self):
+        """Return whether a rank may be armed by an order that nobody knows.
+
+        A former leader arms its own rank only after all others.
+        """
+        exempt_rank = self._find_exempt_rank()
+        return any(
+            report.may_be_armed and report.state.rank != exempt_rank
+            for report in self._reports.list_reports()
+        )
+
     def _wait_idle(self, now_s):
         return ()
 
@@ -481,6 +496,20 @@
         )
 
 
+def _find_prepared_version(states):
+    """Return the next map if all ranks have prepared it, or ``_NO_VERSION``.
+
+    Without it no rank can have been ordered to use it.
+    """
+    versions = {state.prepared for state in states}
+    if len(versions) != 1:
+        return _NO_VERSION
+    (version,) = versions
+    if version is None or any(state.active >= version for state in states):
+        return _NO_VERSION
+    return version
+
+
 def _find_holding(states):
     """Return the state of a rank that holds the group, or None."""
     return next((state for state in states if state.held is not None), None)
--- a/packages/savoryyoke/tests/groups/rollout/test_rollout.py
+++ b/packages/savoryyoke/tests/groups/rollout/test_rollout.py
@@ -194,6 +194,16 @@
     def test_restarted_processes(self):
         self.check_switches(world.Faults(restarts_per_s=0.2))
 
+    def test_all_agents_killed_while_an_order_to_arm_is_late(self):
+        # Their successors know neither the change nor the orders given.
+        self.check_switches(
+            world.Faults(
+                arm_herd_kill_share=0.3,
+                late_order_share=0.35,
+                idle_pass_share=0.5,
+            )
+        )
+
     def test_idle_groups(self):
         self.check_switches(
             world.Faults(idle_pass_share=0.9, late_order_share=0.2)
@@ -212,6 +222,55 @@
         )
 
 
+class HerdKillWorld(world.World):
+    """Kill all processes at the first order to arm an engine.
+
+    That order is carried out ``LATE_S`` later, and callers are quiet for
+    ``QUIET_S``, so no pass begins in that time.
+    """
+
+    LATE_S = 9.0
+    QUIET_S = 11.0
+
+    def __init__(self, **options):
+        super().__init__(**options)
+        self.killed_s = None
+
+    def _send_order(self, sender_rank, rank, order):
+        if self._is_herd_kill_due:
+            return events.OrderResult.UNKNOWN
+        if self.killed_s is None and isinstance(order, decisions.Arm):
+            self.killed_s = self.now_s
+            self._is_herd_kill_due = True
+            self.faults = world.Faults(idle_pass_share=1.0)
+            self.proposes_maps = False
+            self._late_orders.append((self.now_s + self.LATE_S, rank, order))
+            return events.OrderResult.UNKNOWN
+        return super()._send_order(sender_rank, rank, order)
+
+
+class KilledAgentsTests(unittest.TestCase):
+    """Kill all agents while an order to arm an engine is unanswered."""
+
+    def test_late_order_mixes_no_maps(self):
+        for ranks in (3, 5):
+            with self.subTest(ranks=ranks):
+                simulation = HerdKillWorld(
+                    ranks=ranks, faults=world.Faults(), seed=1
+                )
+                while simulation.killed_s is None:
+                    simulation.run(0.1)
+                simulation.run(HerdKillWorld.QUIET_S)
+                simulation.faults = world.Faults()
+                simulation.run(1.0)
+                self.assertEqual([], simulation.mixed_passes)
+                switches = simulation.switches
+                simulation.proposes_maps = True
+                simulation.run(10.0)
+                self.assertEqual([], simulation.mixed_passes)
+                self.assertGreater(simulation.switches, switches)
+
+
 class MutationTests(unittest.TestCase):
     """Check that the simulation detects leaders that break the protocol."""
 
--- a/packages/savoryyoke/tests/groups/rollout/world.py
+++ b/packages/savoryyoke/tests/groups/rollout/world.py
@@ -18,6 +18,7 @@
 TICK_S = 0.01
 COPY_S = 0.3
 ORDER_FREEZE_S = 4.0
+HERD_RESTART_S = 2.0
 
 
 class Engine:
@@ -132,7 +133,8 @@
     no pass begins. The rates of freezes and restarts are totals over all
     processes. ``hold_freeze_share`` and ``arm_freeze_share`` are the shares of
     orders to hold the group and to arm an engine after which the VM that gave
-    the order freezes at once. With
+    the order freezes at once. ``arm_herd_kill_share`` is the share of orders
+    to arm an engine after which all processes are killed. With
     ``freezes_cut_engines``, the engine of a frozen VM can't be called by other
     VMs.
     """
@@ -145,6 +147,7 @@
     idle_pass_share: float = 0.0
     hold_freeze_share: float = 0.0
     arm_freeze_share: float = 0.0
+    arm_herd_kill_share: float = 0.0
     freezes_cut_engines: bool = False
 
 
@@ -171,8 +174,11 @@
         ]
         self.processes = [self._start_process() for _ in range(ranks)]
         self._late_orders = []
+        self._is_herd_kill_due = False
         self._pass_s = pass_s
         self._next_pass_s = pass_s
+        # Without requests there is no demand to plan maps for.
+        self.proposes_maps = True
         self.mixed_passes = []
         self.switches = 0
         self.longest_held_s = 0.0
@@ -189,6 +195,17 @@
             self._begin_pass()
             for rank in range(len(self.processes)):
                 self._run_process(rank)
+            if self._is_herd_kill_due:
+                self._kill_all()
+
+    def _kill_all(self):
+        self._is_herd_kill_due = False
+        for rank in range(len(self.processes)):
+            self._restart(rank, HERD_RESTART_S)
+
+    def _restart(self, rank, restart_s):
+        self.processes[rank] = self._start_process()
+        self.processes[rank].frozen_until_s = self.now_s + restart_s
 
     def _start_process(self):
         return Process(
@@ -205,8 +222,7 @@
                     self._freeze(process)
         if self.random.random() < faults.restarts_per_s * TICK_S:
             rank = self.random.randrange(len(self.processes))
-            self.processes[rank] = self._start_process()
-            self.processes[rank].frozen_until_s = self.now_s + 1.0
+            self._restart(rank, 1.0)
 
     def _freeze(self, process, freeze_s=None):
         if freeze_s is None:
@@ -304,6 +320,10 @@
         }.get(type(order), 0.0)
         if freeze_share and self.random.random() < freeze_share:
             self._freeze(self.processes[sender_rank], ORDER_FREEZE_S)
+        kill_share = self.faults.arm_herd_kill_share
+        if kill_share and isinstance(order, decisions.Arm):
+            # Without this fault, the same seed plays the same run as before.
+            self._is_herd_kill_due |= self.random.random() < kill_share
         if self.random.random() < self.faults.late_order_share:
             delay_s = self.random.uniform(2, 12)
             self._late_orders.append((self.now_s + delay_s, rank, order))
@@ -354,8 +374,10 @@
         if self.now_s - process.published_s >= 3 * TICK_S:
             process.published_s = self.now_s
             self._apply_to_leader(rank, events.TimePassed())
-        if process.leader is not None and process.leader.phase is (
-            models.Phase.IDLE
+        if (
+            process.leader is not None
+            and process.leader.phase is models.Phase.IDLE
+            and self.proposes_maps
         ):
             self._proposals += 1
             self._apply_to_leader(
