Skip events that a copied view knows already

An entry that copied a peer's view while its own read of changes was under way applied events from before the copy again. A target that had been written and removed since could come back for up to two seconds after an outage. Found by reading; test_events_that_a_copied_view_knows_have_no_effect failed before.

--- a/packages/savoryyoke/savoryyoke/published/view.py
+++ b/packages/savoryyoke/savoryyoke/published/view.py
@@ -61,8 +61,8 @@
 
     def take_snapshot(self, *, now_s):
         """Return a snapshot of the whole view, to be sent to a peer."""
-        remaining_s_by_key = self._holds.remaining_s_by_key(now_s=now_s)
-        lapses = self._lapses.remaining_s_by_key(now_s=now_s)
+        held_s_by_key = self._holds.remaining_s_by_key(now_s=now_s)
+        lapsing_s_by_key = self._lapses.remaining_s_by_key(now_s=now_s)
         return models.Snapshot(
             as_of=self._as_of,
             items=tuple(map(self._choose_item, self._items_by_key)),
@@ -72,11 +72,11 @@
                     remaining_s=remaining_s,
                     overruled=self._published_by_key.get(key),
                 )
-                for key, remaining_s in remaining_s_by_key.items()
+                for key, remaining_s in held_s_by_key.items()
             ),
             lapses=tuple(
                 models.Lapse(key=key, remaining_s=remaining_s)
-                for key, remaining_s in lapses.items()
+                for key, remaining_s in lapsing_s_by_key.items()
             ),
         )
 
@@ -139,12 +139,21 @@
     def _(self, reading: models.Changes, now_s):
         changed = False
         for event in reading.events:
-            published = self._published_by_key.get(event.key)
-            if published is not None and event.revision <= published.revision:
-                continue
-            changed = self._apply_event(event, now_s) or changed
+            if not self._is_known(event):
+                changed = self._apply_event(event, now_s) or changed
         return changed
 
+    def _is_known(self, event):
+        """Return whether the view has applied an event, or a newer one.
+
+        A view that was copied from a peer meanwhile knows more than the
+        revision after which the changes were read.
+        """
+        published = self._published_by_key.get(event.key)
+        return event.revision <= self._as_of or (
+            published is not None and event.revision <= published.revision
+        )
+
     @functools.singledispatchmethod
     def _apply_event(self, event, now_s):
         raise TypeError(f'unknown event {type(event).__name__}')
--- a/packages/savoryyoke/tests/published/test_view.py
+++ b/packages/savoryyoke/tests/published/test_view.py
@@ -112,6 +112,15 @@
             {'config', 't1'}, self.apply(removal, build_item('t1', 8))
         )
 
+    def test_events_that_a_copied_view_knows_have_no_effect(self):
+        # The read began before the copy: t2 was written and removed since.
+        self.view.apply(
+            build_snapshot(8, config=3, t1=4), now_s=0.5, after_outage=True
+        )
+        written = build_item('t2', 6)
+        removal = models.Removal(key='t2', revision=build_revision(7))
+        self.assertEqual({'config', 't1'}, self.apply(written, removal))
+
     def test_removal_before_a_write_that_is_known_has_no_effect(self):
         removal = models.Removal(key='t1', revision=build_revision(3))
         self.assertEqual({'config', 't1'}, self.apply(removal))
