End an outage also with a reading that is older than a copied view

If a peer's view was copied while the first read after an outage was under way, the outage never ended for the view: lapsing targets and held values stayed for good. One method is renamed for its meaning.

--- a/packages/savoryyoke/savoryyoke/published/view.py
+++ b/packages/savoryyoke/savoryyoke/published/view.py
@@ -89,14 +89,15 @@
 
         A reading that is older than the view has no effect, except for the
         holds of a peer in the same epoch. ``after_outage`` marks the first
-        reading of the platform after an outage. Raise ``TypeError`` for an
+        reading of the platform after an outage, which ends with it even if a
+        newer view was copied from a peer meanwhile. Raise ``TypeError`` for an
         object that is not a reading.
         """
         changed = False
-        is_outdated = reading.as_of < self._as_of
-        if not is_outdated:
-            if after_outage:
-                self._begin_grace(reading, now_s)
+        if after_outage:
+            self._begin_grace(reading, now_s)
+        is_older = reading.as_of < self._as_of
+        if not is_older:
             self._last_read_s = now_s
             changed = self._apply(reading, now_s)
             self._as_of = reading.as_of
@@ -182,7 +183,9 @@
             if key in self._items_by_key:
                 continue
             removed = self._removals.find(key)
-            if removed is not None and self._is_outdated(published, removed):
+            if removed is not None and self._precedes_removal(
+                published, removed
+            ):
                 self._hold_removal(removed, now_s)
         return self._refresh_all(
             {**self._items_by_key, **published_by_key}, now_s
@@ -270,7 +273,7 @@
             if item is None or self._choose_item(lapse.key) is not None:
                 continue
             removed = self._removals.find(lapse.key)
-            if removed is not None and self._is_outdated(item, removed):
+            if removed is not None and self._precedes_removal(item, removed):
                 continue
             end_s = now_s + lapse.remaining_s
             self._lapses.start(lapse.key, item=item, end_s=end_s)
@@ -316,11 +319,11 @@
         return not (
             self._removals.happened_in(self._as_of.epoch, hold.key)
             or item is None
-            or self._is_outdated(item, removed)
+            or self._precedes_removal(item, removed)
         )
 
-    def _is_outdated(self, item, removed):
-        """Return whether an item was known when ``removed`` was removed."""
+    def _precedes_removal(self, item, removed):
+        """Return whether an item is from before ``removed`` was removed."""
         return item.is_same_write(removed) or self._order.is_older(
             item, removed
         )
--- a/packages/savoryyoke/tests/published/test_view.py
+++ b/packages/savoryyoke/tests/published/test_view.py
@@ -182,6 +182,17 @@
         self.view.expire(now_s=16.0 + conf.LEASE_GRACE_S)
         self.assertNotIn('t1', self.view.items_by_key)
 
+    def test_outage_ends_with_a_reading_that_is_older_than_a_copy(self):
+        # A peer's view was copied while the platform was being read.
+        self.recover()
+        self.view.begin_outage()
+        self.view.apply(build_snapshot(9, config=3), now_s=11.0)
+        self.view.apply(
+            build_snapshot(8, config=3), now_s=11.1, after_outage=True
+        )
+        self.view.expire(now_s=11.1 + conf.LEASE_GRACE_S)
+        self.assertEqual({'config'}, set(self.view.items_by_key))
+
     def test_removal_after_the_grace_period_is_immediate(self):
         self.recover()
         self.view.apply(build_changes(9, t1=9, t2=9), now_s=11.0)
