--- a/packages/savoryyoke-gateway/tests/test_following.py
+++ b/packages/savoryyoke-gateway/tests/test_following.py
@@ -50,6 +50,26 @@
         pass
 
 
+def build_follower(
+    source,
+    published_state,
+    *,
+    read_pause_s=0.0,
+    long_poll_s=published_conf.LONG_POLL_S,
+):
+    """Return a follower without peers."""
+    return following.Follower(
+        source=source,
+        published_state=published_state,
+        metrics=metrics.GatewayMetrics(
+            registry=prometheus_client.CollectorRegistry()
+        ),
+        ask_peers=anyio.lowlevel.checkpoint,
+        choose_read_pause_s=lambda: read_pause_s,
+        choose_long_poll_s=lambda: long_poll_s,
+    )
+
+
 class ForgetfulSource:
     """Answer snapshots; report the history as lost for all changes."""
 
@@ -108,16 +128,7 @@
                 FailingSource(*outcomes),
                 FakePublishedState(),
             )
-            follower = following.Follower(
-                source=source,
-                published_state=published_state,
-                metrics=metrics.GatewayMetrics(
-                    registry=prometheus_client.CollectorRegistry()
-                ),
-                ask_peers=anyio.lowlevel.checkpoint,
-                choose_read_pause_s=lambda: 0.0,
-                choose_long_poll_s=lambda: published_conf.LONG_POLL_S,
-            )
+            follower = build_follower(source, published_state)
             with anyio.move_on_after(60.0):
                 await follower.run()
             return published_state, source.calls_s
@@ -154,16 +165,7 @@
     def test_platform_without_history_gets_few_calls(self):
         async def run():
             source = ForgetfulSource()
-            follower = following.Follower(
-                source=source,
-                published_state=FakePublishedState(),
-                metrics=metrics.GatewayMetrics(
-                    registry=prometheus_client.CollectorRegistry()
-                ),
-                ask_peers=anyio.lowlevel.checkpoint,
-                choose_read_pause_s=lambda: 0.0,
-                choose_long_poll_s=lambda: published_conf.LONG_POLL_S,
-            )
+            follower = build_follower(source, FakePublishedState())
             with anyio.move_on_after(1.0):
                 await follower.run()
             return source.calls
@@ -180,15 +182,8 @@
 
         async def run():
             source, published_state = SilentSource(), FakePublishedState()
-            follower = following.Follower(
-                source=source,
-                published_state=published_state,
-                metrics=metrics.GatewayMetrics(
-                    registry=prometheus_client.CollectorRegistry()
-                ),
-                ask_peers=anyio.lowlevel.checkpoint,
-                choose_read_pause_s=lambda: 0.05,
-                choose_long_poll_s=lambda: wait_s,
+            follower = build_follower(
+                source, published_state, read_pause_s=0.05, long_poll_s=wait_s
             )
             async with anyio.create_task_group() as group:
                 group.start_soon(follower.run)
