Copy items that lapse in a second outage

An entry that had read nothing since the first of two outages copied a peer's view in the second one, in which that peer's grace period was over although nobody could renew a lease, and dropped live targets.

--- a/packages/savoryyoke/savoryyoke/published/holds.py
+++ b/packages/savoryyoke/savoryyoke/published/holds.py
@@ -114,10 +114,13 @@
             del self._overrides_by_key[key]
         return expired_keys
 
-    def remaining_s_by_key(self, *, now_s):
-        """Return how many seconds each override still lasts, by key."""
+    def remaining_s_by_key(self, *, now_s, least_s):
+        """Return how many seconds each override still lasts, by key.
+
+        None is reported to last less than ``least_s``.
+        """
         return {
-            key: max(override.end_s - now_s, 0.0)
+            key: max(override.end_s - now_s, least_s)
             for key, override in self._overrides_by_key.items()
         }
 
--- a/packages/savoryyoke/savoryyoke/published/view.py
+++ b/packages/savoryyoke/savoryyoke/published/view.py
@@ -61,8 +61,14 @@
 
     def take_snapshot(self, *, now_s):
         """Return a snapshot of the whole view, to be sent to a peer."""
-        held_s_by_key = self._holds.remaining_s_by_key(now_s=now_s)
-        lapsing_s_by_key = self._lapses.remaining_s_by_key(now_s=now_s)
+        # In an outage, overrides last until after its end.
+        least_s = conf.LEASE_GRACE_S if self._is_platform_lost else 0.0
+        held_s_by_key = self._holds.remaining_s_by_key(
+            now_s=now_s, least_s=least_s
+        )
+        lapsing_s_by_key = self._lapses.remaining_s_by_key(
+            now_s=now_s, least_s=least_s
+        )
         return models.Snapshot(
             as_of=self._as_of,
             items=tuple(map(self._choose_item, self._items_by_key)),
--- a/packages/savoryyoke/tests/published/test_view.py
+++ b/packages/savoryyoke/tests/published/test_view.py
@@ -233,6 +233,16 @@
         reader.apply(self.view.take_snapshot(now_s=10.1), now_s=10.1)
         self.assertIn('t1', reader.items_by_key)
 
+    def test_items_that_lapse_in_a_second_outage_are_copied(self):
+        # The grace period after the first outage is over.
+        self.recover()
+        self.view.begin_outage()
+        reader = build_view()
+        reader.apply(build_snapshot(5, config=3, t1=4, t2=5), now_s=0.0)
+        reader.begin_outage()
+        reader.apply(self.view.take_snapshot(now_s=15.0), now_s=15.0)
+        self.assertIn('t1', reader.items_by_key)
+
     def test_removal_of_an_item_without_lease_is_immediate(self):
         self.view.apply(
             build_snapshot(8, t1=4, t2=5), now_s=10.0, after_outage=True
