--- a/packages/savoryyoke-gateway/savoryyoke_gateway/following.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/following.py
@@ -126,19 +126,14 @@
         self._needs_snapshot = True
         was_lost = self._health.is_lost
         delay_s = self._health.record_failure(now_s=anyio.current_time())
-        if not self._health.is_lost:
-            logs.write_event(
-                'reading_failed',
-                level='warning',
-                reason=str(error),
-                as_of=self._published_state.as_of,
-            )
-        elif not was_lost:
+        if was_lost:
+            return delay_s
+        if self._health.is_lost:
             self._published_state.begin_outage()
-            logs.write_event(
-                'platform_lost',
-                level='warning',
-                reason=str(error),
-                as_of=self._published_state.as_of,
-            )
+        logs.write_event(
+            'platform_lost' if self._health.is_lost else 'reading_failed',
+            level='warning',
+            reason=str(error),
+            as_of=self._published_state.as_of,
+        )
         return delay_s
