Share the virtual clock and the targets of tests

Three tests of the gateway started the same virtual clock, and the play of fast failures built its targets as test_dispatcher does. No assertion changes.

--- a/packages/savoryyoke-gateway/tests/histories.py
+++ b/packages/savoryyoke-gateway/tests/histories.py
@@ -14,7 +14,6 @@
 import anyio
 import anyio.lowlevel
 import prometheus_client
-import trio.testing
 
 from savoryyoke.published import exceptions
 from savoryyoke.published import holds
@@ -25,6 +24,8 @@
 from savoryyoke_gateway import following
 from savoryyoke_gateway import metrics
 
+from tests import clocks
+
 CONFIGURATION = 'config'
 CLOSURE = 'closed'
 TARGETS = ('t1', 't2', 't3')
@@ -517,13 +518,7 @@
         await World().play(steps)
 
     try:
-        anyio.run(
-            run,
-            backend='trio',
-            backend_options={
-                'clock': trio.testing.MockClock(autojump_threshold=0)
-            },
-        )
+        clocks.run_on_virtual_clock(run)
     except BaseExceptionGroup as group:
         raise _find_first(group) from None
 
--- a/packages/savoryyoke-gateway/tests/test_following.py
+++ b/packages/savoryyoke-gateway/tests/test_following.py
@@ -5,7 +5,6 @@
 import anyio
 import anyio.lowlevel
 import prometheus_client
-import trio.testing
 
 from savoryyoke.published import conf as published_conf
 from savoryyoke.published import exceptions as published_exceptions
@@ -15,6 +14,8 @@
 from savoryyoke_gateway import following
 from savoryyoke_gateway import metrics
 
+from tests import clocks
+
 
 class SilentSource:
     """Answer the first read; don't answer reads of changes while silent."""
@@ -133,13 +134,7 @@
                 await follower.run()
             return published_state, source.calls_s
 
-        return anyio.run(
-            run,
-            backend='trio',
-            backend_options={
-                'clock': trio.testing.MockClock(autojump_threshold=0)
-            },
-        )
+        return clocks.run_on_virtual_clock(run)
 
     def test_single_failed_read_is_no_outage(self):
         published_state, calls_s = self.follow(1, self.LOST, 2)
--- a/packages/savoryyoke-gateway/tests/test_hedging.py
+++ b/packages/savoryyoke-gateway/tests/test_hedging.py
@@ -4,7 +4,6 @@
 import unittest
 
 import anyio
-import trio.testing
 
 from savoryyoke.forwarding import decisions
 from savoryyoke.forwarding import events
@@ -13,6 +12,8 @@
 from savoryyoke_gateway import hedging
 from savoryyoke_gateway import requests
 
+from tests import clocks
+
 ANSWER = requests.Answer(status=200, headers=(), body=b'whole')
 FAILURE = requests.Answer(status=500, headers=(), body=b'failed')
 
@@ -108,13 +109,7 @@
             decision = await hedged.run(call, build_placement('first'), None)
             return decision, call, tries
 
-        return anyio.run(
-            run,
-            backend='trio',
-            backend_options={
-                'clock': trio.testing.MockClock(autojump_threshold=0)
-            },
-        )
+        return clocks.run_on_virtual_clock(run)
 
     def test_first_answer_is_used_and_the_other_try_is_cancelled(self):
         decision, call, tries = self.play(answer_after(9.0), answer_after(0.1))
--- a/packages/savoryyoke/tests/placement/test_fast_failures.py
+++ b/packages/savoryyoke/tests/placement/test_fast_failures.py
@@ -12,6 +12,8 @@
 from savoryyoke.placement import models
 from savoryyoke.placement import pool
 
+from tests.placement import test_dispatcher
+
 _Result = models.TryResult
 TARGETS = 4
 SLOTS = 6
@@ -23,21 +25,6 @@
 FAILURE_S = 0.003
 
 
-def build_target(number):
-    return models.Target(
-        target_id=f't{number}',
-        incarnation=1,
-        service_name='s',
-        host=f'10.0.1.{number}',
-        port=80,
-        data_centre='dc-a',
-        region='r',
-        slots=SLOTS,
-        is_draining=False,
-        is_in_service=True,
-    )
-
-
 class Load:
     """Send requests to four targets of which t0 fails all at once."""
 
@@ -63,7 +50,10 @@
         """Return the share of the requests that reach the failing target."""
         self._apply(
             events.TargetsChanged(
-                targets=tuple(map(build_target, range(TARGETS)))
+                targets=tuple(
+                    test_dispatcher.build_target(number, slots=SLOTS)
+                    for number in range(TARGETS)
+                )
             ),
             0.0,
         )
