Treat an answer with an invalid status as a failed try

Cause: the HTTP library takes any final status from 200 to 999 and reads the body of an informational answer as the next head, so 600 and 999 reached callers and a status of 100 to 199 with a body was waited for until the deadline. An answer 600 with X-Not-Run was believed, and the store's client took the epoch of a refused answer.

The rule is in savoryyoke_edge.statuses. It checks the raw bytes up to the final status line, for the gateway's exchanges, engines, the store, the older platform's reader and back ends of target processes.

Ruled out: a check of the parsed status in the translator; it can't end the wait for a final answer, and engines and the store don't pass there.

--- a/packages/savoryyoke-edge/savoryyoke_edge/platform.py
+++ b/packages/savoryyoke-edge/savoryyoke_edge/platform.py
@@ -11,6 +11,7 @@
 
 from savoryyoke_edge import bodies
 from savoryyoke_edge import exceptions
+from savoryyoke_edge import statuses
 
 ANSWER_LIMIT_BYTES = 1024 * 1024 + 64 * 1024
 CALL_TIMEOUT_S = 5.0
@@ -53,7 +54,9 @@
     def __init__(self, *, url, timeout_s=CALL_TIMEOUT_S):
         self._timeout_s = timeout_s
         self._url = url.rstrip('/')
-        self._pool = httpcore.AsyncConnectionPool(max_connections=8)
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=8, network_backend=statuses.CheckingBackend()
+        )
 
     async def read_value(self, name, *, after_revision=0, wait_s=0.0):
         """Return the value ``name`` if newer than ``after_revision``.
--- a/packages/savoryyoke-fakes/savoryyoke_fakes/deployment/replica.py
+++ b/packages/savoryyoke-fakes/savoryyoke_fakes/deployment/replica.py
@@ -59,6 +59,18 @@
     DRIPPED_STREAM_END = 'dripped-stream-end'
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RawAnswer:
+    """Describe a fault that sends ``data`` in place of an answer.
+
+    Each ``{request-id}`` in it is replaced. Afterwards the connection stays
+    open until the client closes it, unless ``closes`` is true.
+    """
+
+    data: bytes
+    closes: bool = False
+
+
 @dataclasses.dataclass(kw_only=True)
 class Run:
     """Record one request that the replica ran.
@@ -94,7 +106,8 @@
     """Run requests and record them.
 
     Each request removes the first fault of ``oddities`` or, if it is empty,
-    of ``common_oddities``; without a fault, it is served normally. Several
+    of ``common_oddities``; without a fault, it is served normally. A fault is
+    an ``Oddity`` or a ``RawAnswer``. Several
     replicas can share ``common_oddities`` and ``common_runs``, to which each
     appends its runs in order. ``work_s`` is the time in seconds for a response
     and for each event of a stream; ``work_s_by_body`` overrides it for
@@ -188,6 +201,9 @@
                 await anyio.sleep(fatal_request.after_s)
                 self.crash()
                 await anyio.sleep_forever()
+        if isinstance(oddity, RawAnswer):
+            await _answer_raw(request, connection, oddity)
+            return
         if oddity in _HEAD_BYTES_BY_ODDITY:
             await connection.send(
                 _PARTIAL_HEAD[: _HEAD_BYTES_BY_ODDITY[oddity]]
@@ -360,6 +376,16 @@
     await connection.answer(200, headers=headers, body=body)
 
 
+async def _answer_raw(request, connection, answer):
+    request_id = request.headers.get('x-request-id', '').encode()
+    await connection.send(
+        answer.data.replace(_REQUEST_ID_PLACEHOLDER, request_id)
+    )
+    if answer.closes:
+        raise anyio.ClosedResourceError
+    await connection.wait_closed()
+
+
 async def _flood(connection, prefix, chunk, pause_s):
     """Send ``prefix``, then repeat ``chunk`` until the connection closes.
 
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/crashes.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/crashes.py
@@ -16,7 +16,9 @@
 # Reasons of broken tries that a crash of the target can cause, see
 # ``exchanges``. A VM that loses power doesn't close its connections; its
 # crash shows only when the target leaves the published list.
-_CLOSED_CONNECTION_REASONS = frozenset({'reset', 'malformed', 'torn'})
+_CLOSED_CONNECTION_REASONS = frozenset(
+    {'reset', 'malformed', 'invalid-status', 'torn'}
+)
 _CRASH_REASONS = _CLOSED_CONNECTION_REASONS | {'silent'}
 
 
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/exchanges.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/exchanges.py
@@ -3,10 +3,11 @@
 import anyio
 import httpcore
 
+from savoryyoke_edge import statuses
 from savoryyoke_gateway import conf
 from savoryyoke_gateway import exceptions
 
-_BACKEND = httpcore.AnyIOBackend()
+_BACKEND = statuses.CheckingBackend()
 _METHODS_WITH_BODY = (b'POST', b'PUT', b'PATCH')
 
 
@@ -77,7 +78,8 @@
 
         Raise ``ExchangeBroken`` if the exchange fails or if the head of the
         answer is not complete within ``silence_s`` seconds. Informational
-        answers are skipped.
+        answers are skipped. An invalid status breaks the exchange at once,
+        so no header of such an answer is used.
         """
         url = httpcore.URL(
             scheme=b'http',
@@ -149,6 +151,8 @@
     match error:
         case httpcore.TimeoutException():
             return exceptions.ExchangeBroken('silent')
+        case statuses.InvalidStatus():
+            return exceptions.ExchangeBroken('invalid-status')
         case httpcore.ProtocolError():
             return exceptions.ExchangeBroken('malformed')
         case httpcore.NetworkError():
--- a/packages/savoryyoke-target/savoryyoke_target/backends.py
+++ b/packages/savoryyoke-target/savoryyoke_target/backends.py
@@ -6,6 +6,7 @@
 import anyio
 import httpcore
 
+from savoryyoke_edge import statuses
 from savoryyoke_target import events
 from savoryyoke_target import exceptions
 
@@ -34,13 +35,16 @@
         self._answer_limit_bytes = answer_limit_bytes
         self._timeouts = {'connect': connect_timeout_s}
         self._pool = httpcore.AsyncConnectionPool(
-            max_connections=CONNECTIONS_LIMIT
+            max_connections=CONNECTIONS_LIMIT,
+            network_backend=statuses.CheckingBackend(),
         )
         # The back end may close an idle connection just as it is reused, and
         # then it is unclear whether the call ran. Calls that are not
         # idempotent therefore use new connections.
         self._fresh_pool = httpcore.AsyncConnectionPool(
-            max_connections=CONNECTIONS_LIMIT, max_keepalive_connections=0
+            max_connections=CONNECTIONS_LIMIT,
+            max_keepalive_connections=0,
+            network_backend=statuses.CheckingBackend(),
         )
 
     async def refuses_connections(self):
