Let the event loop hand datagrams to the agent

The UDP socket of anyio yields to the event loop twice for each datagram that it sends or receives, and asyncio's transport reserves 256 KB for each one. An agent now reads its socket in the loop's callback, into one buffer, and sends directly; it waits only while the kernel accepts nothing, so the lock around sending is gone. As before, a datagram that the kernel refuses is dropped without a log line: asyncio's transport never raised the error that the removed branch of the exchange logged. An unexpected error of the recipient still restarts the task.

Mutations that turn test_datagrams red: a receive buffer of 60 KB, dropping a datagram while the kernel accepts none, hiding an error of the recipient, and not releasing senders on closing.

--- a/packages/savoryyoke-agent/savoryyoke_agent/exchange.py
+++ b/packages/savoryyoke-agent/savoryyoke_agent/exchange.py
@@ -1,11 +1,11 @@
 """Exchange datagrams between the agents of a group."""
 
 import itertools
-import socket
 
 import anyio
 
 from savoryyoke_agent import conf
+from savoryyoke_agent import datagrams
 
 from savoryyoke_edge import logs
 from savoryyoke_wire import assembly
@@ -32,36 +32,30 @@
         self._assembler = assembly.Assembler()
         self._message_ids = itertools.count(int(clock() * 1000))
         self._socket = None
-        self._send_lock = anyio.Lock()
 
     async def run(self):
         """Receive datagrams until cancelled."""
-        async with await anyio.create_udp_socket(
-            family=socket.AF_INET, local_host=self._host, local_port=self._port
+        async with datagrams.open_socket(
+            host=self._host, port=self._port, receive=self._receive_datagram
         ) as self._socket:
-            async for packed, (host, _) in self._socket:
-                self._receive_datagram(packed, host)
+            await self._socket.wait_failed()
 
     async def send(self, message, hosts, *, port=None):
         """Send a message to hosts, at the agents' port by default."""
         if self._socket is None:
             return
-        datagrams = self._encode(message)
-        # The socket raises an error if two tasks send at the same time.
-        async with self._send_lock:
-            for host in hosts:
-                for packed in datagrams:
-                    await self._send_datagram(packed, host, port or self._port)
+        encoded = self._encode(message)
+        for host, packed in itertools.product(hosts, encoded):
+            await self._socket.sendto(packed, host, port or self._port)
 
     async def send_paced(self, message, hosts):
         """Send a large message to hosts, after a burst at a limited rate."""
         if self._socket is None:
             return
-        datagrams = self._encode(message)
+        encoded = self._encode(message)
         sent_bytes = 0
-        for host, packed in itertools.product(hosts, datagrams):
-            async with self._send_lock:
-                await self._send_datagram(packed, host, self._port)
+        for host, packed in itertools.product(hosts, encoded):
+            await self._socket.sendto(packed, host, self._port)
             sent_bytes += len(packed)
             if sent_bytes > self._unpaced_bytes:
                 await anyio.sleep(len(packed) / self._paced_bytes_per_s)
@@ -81,17 +75,6 @@
             )
             return ()
 
-    async def _send_datagram(self, packed, host, port):
-        try:
-            await self._socket.sendto(packed, host, port)
-        except OSError as error:
-            logs.write_event(
-                'datagram_not_sent',
-                level='warning',
-                host=host,
-                reason=str(error),
-            )
-
     def _receive_datagram(self, packed, host):
         try:
             message = self._decode(packed, host)
