--- a/tools/measure/__main__.py
+++ b/tools/measure/__main__.py
@@ -25,6 +25,8 @@
     ('configuration_file',),
     ('expert_maps',),
     ('expert_demand',),
+    ('engine_calls',),
+    ('agent_messages',),
 )
 
 
