Limit callers' input while it arrives

Cause: uvicorn's parser keeps heads, trailers and pipelined requests without a limit, bodies were limited one by one only, and an answer that its caller did not read was counted by nobody.

The parser stays. A subclass of the protocol reads into one small buffer of the process, feeds the parser up to the end of a head, a chunk or a request, and checks the limits after each piece. All connections of all ports share one byte budget from Limits.MemoryMb and one limit on connections from Limits.MaxFds. HeaderBytes of the configuration is in force. A complete request is never cut because of the budget.

Trailers are dropped: so far those that arrived with the whole request were forwarded as headers.

--- a/packages/savoryyoke-edge/savoryyoke_edge/servers.py
+++ b/packages/savoryyoke-edge/savoryyoke_edge/servers.py
@@ -10,6 +10,8 @@
 
 IDLE_TIMEOUT_S = 30
 BACKLOG_CONNECTIONS = 512
+# Bounds the descriptors that are in use before connections are counted.
+ACCEPTED_AT_ONCE = 32
 
 
 class HeaderTimeoutProtocol(httptools_impl.HttpToolsProtocol):
@@ -62,6 +64,15 @@
         """Install no signal handlers."""
         yield
 
+    async def startup(self, sockets=None):
+        """Accept few connections at once, and let more of them wait.
+
+        asyncio uses one number for both.
+        """
+        await super().startup(sockets=sockets)
+        for listener in sockets or ():
+            listener.listen(BACKLOG_CONNECTIONS)
+
 
 def bind(address):
     """Return a listening, non-blocking TCP socket bound to ``address``."""
@@ -110,6 +121,6 @@
         date_header=False,
         timeout_keep_alive=math.ceil(idle_timeout_s),
         limit_concurrency=connection_limit,
-        backlog=BACKLOG_CONNECTIONS,
+        backlog=ACCEPTED_AT_ONCE,
     )
     return Server(config)
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/daemon.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/daemon.py
@@ -8,8 +8,13 @@
 import anyio
 import prometheus_client
 
+from savoryyoke.forwarding import buffers as forwarding_buffers
+from savoryyoke.intake import budget as intake_budget
+from savoryyoke.intake import connections as intake_connections
+from savoryyoke.intake import limits as intake_limits
 from savoryyoke.published import pacing as published_pacing
 
+from savoryyoke_edge import bounded_input
 from savoryyoke_edge import logs
 from savoryyoke_edge import servers
 from savoryyoke_edge import supervision
@@ -67,6 +72,28 @@
         self._metrics = metrics.GatewayMetrics(
             registry=prometheus_client.CollectorRegistry()
         )
+        process_limits = intake_limits.derive_limits(
+            memory_mb=settings.memory_mb, max_fds=settings.max_fds
+        )
+        self._buffers = forwarding_buffers.BufferAccount(
+            limit_bytes=min(
+                conf.BUFFERS_LIMIT_BYTES, process_limits.answers_bytes
+            )
+        )
+        self._intake = bounded_input.Intake(
+            budget=intake_budget.ByteBudget(
+                limit_bytes=process_limits.budget_bytes,
+                get_answer_bytes=lambda: self._buffers.total_bytes,
+            ),
+            connections=intake_connections.ConnectionTable(
+                limit=process_limits.connections
+            ),
+            answers=self._buffers,
+            refusals=bounded_input.RefusalLog(
+                count=self._metrics.count_input_refusal, clock=clock
+            ),
+            idle_s=_IDLE_TIMEOUT_S,
+        )
         self._stopping = stopping.Stopping(
             grace_s=settings.grace_s, clock=clock
         )
@@ -123,6 +150,7 @@
             crashes=self._crashes,
             suspects=self.suspects,
             stopping=self._stopping,
+            buffers=self._buffers,
             random_fraction=random_fraction,
             clock=clock,
         )
@@ -242,6 +270,7 @@
         return serving.build_server(
             serving.ApplicationsByPort(applications_by_port),
             timeouts=self._connection_timeouts,
+            intake=self._intake,
         )
 
     def _apply_publication(self, publication):
@@ -254,6 +283,9 @@
             header_s=catalogue.caller_limits.header_timeout_s,
             idle_s=catalogue.caller_limits.idle_timeout_s,
         )
+        self._intake.idle_s = self._connection_timeouts.idle_s
+        self._intake.header_bytes = catalogue.caller_limits.header_bytes
+        self._intake.body_bytes = catalogue.caller_limits.body_bytes
         entry_count = max(
             self.peering.table.max_entry_count, conf.EXPECTED_ENTRY_COUNT
         )
@@ -317,6 +349,18 @@
                     'Size of the answers of targets that are buffered.',
                     self._forwarder.buffered_bytes,
                 ),
+                'input_bytes': (
+                    'Size of what callers have sent and that is in use.',
+                    lambda: self._intake.budget.total_bytes,
+                ),
+                'input_limit_bytes': (
+                    'Limit on input and buffered answers together.',
+                    lambda: self._intake.budget.limit_bytes,
+                ),
+                'connections': (
+                    'Open connections at all addresses.',
+                    lambda: self._intake.connections.count,
+                ),
                 'rate_limited_targets': (
                     'Targets that limit their requests per second.',
                     self._dispatching.rate_limited_count,
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/forwarder.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/forwarder.py
@@ -4,7 +4,6 @@
 
 import anyio
 
-from savoryyoke.forwarding import buffers as forwarding_buffers
 from savoryyoke.forwarding import conf as forwarding_conf
 from savoryyoke.forwarding import decisions
 from savoryyoke.forwarding import events
@@ -36,6 +35,7 @@
 
     ``random_fraction`` is a function that returns a random number from 0
     to 1, ``clock`` a function that returns the monotonic time in seconds.
+    ``buffers`` is the ``BufferAccount`` of the process.
     """
 
     def __init__(
@@ -49,6 +49,7 @@
         crashes,
         suspects,
         stopping,
+        buffers,
         random_fraction,
         clock,
     ):
@@ -68,9 +69,7 @@
             metrics=metrics,
             clock=clock,
         )
-        self._buffers = forwarding_buffers.BufferAccount(
-            limit_bytes=conf.BUFFERS_LIMIT_BYTES
-        )
+        self._buffers = buffers
         self._tries = hedging.HedgedTries(
             tries=tries.TryRunner(
                 dispatching=dispatching,
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/metrics.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/metrics.py
@@ -91,6 +91,17 @@
             registry=registry,
         )
 
+        self._input_refusals = prometheus_client.Counter(
+            'savoryyoke_gateway_input_refusals',
+            'Connections whose input was refused or that were closed.',
+            ['cause'],
+            registry=registry,
+        )
+
+    def count_input_refusal(self, cause):
+        """Count one refusal of input; ``cause`` names the limit."""
+        self._input_refusals.labels(cause).inc()
+
     def count_restored_platform(self):
         """Count one restoration of the platform from an older copy."""
         self._restored_platforms.inc()
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/ports.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/ports.py
@@ -4,6 +4,7 @@
 import typing
 
 from savoryyoke.catalogue import models as catalogue_models
+from savoryyoke.intake import conf as intake_conf
 from savoryyoke.placement import models as placement_models
 from savoryyoke.published import holds
 
@@ -29,6 +30,7 @@
     request and ``retry_slack`` more. ``grace_s`` is the time in seconds
     between the signal to stop and the kill. ``hold_times`` says how long
     published values outlast a platform that was restored without them.
+    The process stays below ``memory_mb`` and ``max_fds`` open descriptors.
     """
 
     vm_id: str
@@ -45,6 +47,8 @@
     retry_ratio: float
     retry_slack: float
     hold_times: holds.HoldTimes
+    memory_mb: float = intake_conf.MEMORY_MB
+    max_fds: float = intake_conf.MAX_FDS
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/serving.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/serving.py
@@ -1,5 +1,6 @@
 """Serve the addresses of the gateway with one HTTP server."""
 
+from savoryyoke_edge import bounded_input
 from savoryyoke_edge import servers
 
 
@@ -33,12 +34,19 @@
         await application(scope, receive, send)
 
 
-def build_server(application, *, timeouts):
-    """Return a server that applies ``timeouts`` to every connection."""
+def build_server(application, *, timeouts, intake):
+    """Return a server that limits every connection.
 
-    class LimitedProtocol(servers.HeaderTimeoutProtocol):
+    ``intake`` is the ``bounded_input.Intake`` of the process.
+    """
+
+    class LimitedProtocol(bounded_input.BoundedInputProtocol):
         """Read the timeouts each time that they begin."""
 
+        def __init__(self, *arguments, **options):
+            super().__init__(*arguments, **options)
+            self.intake = intake
+
         @property
         def header_timeout_s(self):
             """Return the time for the next request's headers."""
--- a/packages/savoryyoke/savoryyoke/catalogue/models.py
+++ b/packages/savoryyoke/savoryyoke/catalogue/models.py
@@ -4,6 +4,7 @@
 import enum
 
 from savoryyoke.groups.rollout import models as rollout_models
+from savoryyoke.intake import conf as intake_conf
 
 
 class RequestKind(enum.Enum):
@@ -93,6 +94,7 @@
     body_bytes: int
     header_timeout_s: float
     idle_timeout_s: float
+    header_bytes: int = intake_conf.HEADER_BYTES
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/savoryyoke/savoryyoke/intake/conf.py
+++ b/packages/savoryyoke/savoryyoke/intake/conf.py
@@ -38,8 +38,10 @@
 # A head may exceed ``HeaderBytes`` by this much, since callers may count its
 # bytes in another way.
 HEAD_SLACK_BYTES = 1024
-# Callers send about ten lines. A line takes some 200 bytes of memory.
+# Callers send about ten lines.
 HEAD_LINES_LIMIT = 1000
+# Memory of a line beyond its text: a pair and two objects of bytes.
+LINE_BYTES = 150
 # Limit on empty lines before a request; clients send one at most.
 BLANK_BYTES_LIMIT = 64
 # Limit on the framing of a chunked body beyond ``CHUNK_BYTES`` per chunk:
