Limit the copies of the view that are sent at once

Each connection to the peer port held a descriptor and a copy of the view for up to a second, and their number had no limit. Now 32 are served, the others are closed; their peers ask another entry or the platform.

The new test fails without the check (three of three streams stay open).

--- a/packages/savoryyoke-gateway/savoryyoke_gateway/conf.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/conf.py
@@ -95,6 +95,10 @@
 # event takes up to 0.4 s, and callers abandon a stream without one after 2 s.
 OUTAGE_WAIT_S = 1.5
 
+# Number of copies of the view that an entry sends at once. A copy takes some
+# milliseconds; a peer that gets none asks another entry or the platform.
+COPIES_SENT_LIMIT = 32
+
 # Number of peers that an entry asks after the platform was restored from an
 # older copy, for what it may have missed itself.
 RESTORE_COPIES = 3
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/copying.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/copying.py
@@ -48,6 +48,7 @@
         # Peers are asked until then what the restored platform lacks.
         self._restore_end_s = -math.inf
         self._asked_peer_ids = set()
+        self._sent_now = 0
 
     async def run(self):
         """Send and copy views until cancelled."""
@@ -84,9 +85,16 @@
             await listener.serve(self._send_view)
 
     async def _send_view(self, stream):
-        await snapshots.send_snapshot(
-            stream, self._published_state.take_snapshot()
-        )
+        if self._sent_now >= conf.COPIES_SENT_LIMIT:
+            await stream.aclose()
+            return
+        self._sent_now += 1
+        try:
+            await snapshots.send_snapshot(
+                stream, self._published_state.take_snapshot()
+            )
+        finally:
+            self._sent_now -= 1
 
     async def _copy(self):
         while True:
