Compare with the file in force and print JSON in savoryyoke check

Differences don't change the exit status, a fault of either file does. The comparison of two trees moves from the command diff to savoryyoke.configuration.differences.

--- a/packages/savoryyoke-entry/savoryyoke_entry/commands/diff.py
+++ b/packages/savoryyoke-entry/savoryyoke_entry/commands/diff.py
@@ -9,8 +9,8 @@
 
 import json
 
+from savoryyoke.configuration import differences
 from savoryyoke.configuration import documents
-from savoryyoke.configuration import faults
 from savoryyoke_edge.command_line import results
 from savoryyoke_entry.commands import files
 
@@ -26,28 +26,22 @@
     if isinstance(new, results.Result):
         return new
     lines = tuple(
-        _compare(
-            dict(_flatten(documents.to_plain(old.configuration))),
-            dict(_flatten(documents.to_plain(new.configuration))),
+        render(difference)
+        for difference in differences.compare(
+            documents.to_plain(old.configuration),
+            documents.to_plain(new.configuration),
         )
     )
     status = results.ExitStatus.NEGATIVE if lines else 0
     return results.Result(lines=lines, status=results.ExitStatus(status))
 
 
-def _flatten(tree, path=()):
-    for key, value in tree.items():
-        if isinstance(value, dict) and value:
-            yield from _flatten(value, (*path, key))
-        else:
-            yield faults.render_path((*path, key)), json.dumps(value)
-
-
-def _compare(old, new):
-    for path in sorted(old.keys() | new.keys()):
-        if path not in old:
-            yield f'+ {path}: {new[path]}'
-        elif path not in new:
-            yield f'- {path}: {old[path]}'
-        elif old[path] != new[path]:
-            yield f'~ {path}: {old[path]} -> {new[path]}'
+def render(difference):
+    """Return a difference as one line."""
+    old, new = json.dumps(difference.old), json.dumps(difference.new)
+    match difference.change:
+        case differences.Change.ADDED:
+            return f'+ {difference.path}: {new}'
+        case differences.Change.REMOVED:
+            return f'- {difference.path}: {old}'
+    return f'~ {difference.path}: {old} -> {new}'
--- a/packages/savoryyoke-entry/tests/commands/test_files.py
+++ b/packages/savoryyoke-entry/tests/commands/test_files.py
@@ -1,10 +1,12 @@
 """Test the commands that read the operators' files."""
 
+import json
 import pathlib
 import tempfile
 import unittest
 
 from savoryyoke.configuration import documents
+from savoryyoke.configuration import faults
 from savoryyoke_edge.command_line import results
 from tests.commands import console
 
@@ -58,6 +60,59 @@
         )
         self.assertIn('Did you mean weight', lines[2])
 
+    def test_differences_from_the_version_in_force(self):
+        """Check that they are listed and don't make the status negative."""
+        text = console.FUND.read_text()
+        new = self.write(
+            'new.yaml', text.replace('    weight: 0.5\n', '    weight: 1.5\n')
+        )
+        run = console.run('check', new, PRAGUE, '--against', console.FUND)
+        self.assertEqual((run.status, run.errors), (STATUS.OK, ''))
+        line = '~ teams.nightly-batch.weight: 0.5 -> 1.5\n'
+        self.assertEqual(run.output.count(line), 2)
+        self.assertEqual(len(run.output.splitlines()), 4)
+        run = console.run('check', new, '--against', new)
+        self.assertEqual(len(run.output.splitlines()), 1)
+
+    def test_fault_of_the_version_in_force_is_reported(self):
+        """Check that a comparison that can't be made is no success."""
+        broken = self.write('broken.yaml', 'schema_version: 1\n')
+        run = console.run('check', console.FUND, '--against', broken)
+        self.assertEqual(run.status, STATUS.NEGATIVE)
+        self.assertIn(f'{broken}: ', run.errors)
+        run = console.run('check', console.FUND, '--against=no-such-file')
+        self.assertEqual(run.status, STATUS.USAGE)
+
+    def test_json(self):
+        text = console.FUND.read_text().replace(
+            'weight: 8\n', 'weight: -8\n', 1
+        )
+        base = self.write('base.yaml', text)
+        run = console.run('check', base, '--json')
+        self.assertEqual((run.status, run.errors), (STATUS.NEGATIVE, ''))
+        document = json.loads(run.output)
+        (finding,) = document['findings']
+        self.assertEqual(
+            (
+                faults.INVALID,
+                'error',
+                str(base),
+                'teams.case-officers.weight',
+            ),
+            tuple(
+                finding[name] for name in ('id', 'severity', 'file', 'path')
+            ),
+        )
+        self.assertTrue(finding['hint'])
+        self.assertEqual([], document['valid'])
+        run = console.run(
+            'check', console.FUND, '--json', '--against', console.FUND
+        )
+        self.assertEqual(run.status, STATUS.OK)
+        (valid,) = json.loads(run.output)['valid']
+        self.assertEqual([], valid['differences'])
+        self.assertEqual(32, len(valid['digest']))
+
 
 class RenderTest(FileTestCase):
     """Test the command render."""
