--- a/packages/savoryyoke-entry/savoryyoke_entry/commands/check.py
+++ b/packages/savoryyoke-entry/savoryyoke_entry/commands/check.py
@@ -19,7 +19,6 @@
 from savoryyoke.configuration import documents
 from savoryyoke.configuration import faults
 from savoryyoke_edge.command_line import results
-from savoryyoke_entry.commands import diff
 from savoryyoke_entry.commands import files
 from savoryyoke_entry.commands import values
 
@@ -110,7 +109,7 @@
 def _render(valid_pairs):
     for pair in valid_pairs:
         yield f'{pair.name}: valid, digest {pair.digest}'
-        yield from map(diff.render, pair.differences)
+        yield from map(str, pair.differences)
 
 
 def _build_document(valid_pairs, found_faults):
--- a/packages/savoryyoke-entry/savoryyoke_entry/commands/diff.py
+++ b/packages/savoryyoke-entry/savoryyoke_entry/commands/diff.py
@@ -7,8 +7,6 @@
 "-" removed, "~" changed. The status is 1 if the two differ.
 """
 
-import json
-
 from savoryyoke.configuration import differences
 from savoryyoke.configuration import documents
 from savoryyoke_edge.command_line import results
@@ -26,22 +24,13 @@
     if isinstance(new, results.Result):
         return new
     lines = tuple(
-        render(difference)
-        for difference in differences.compare(
-            documents.to_plain(old.configuration),
-            documents.to_plain(new.configuration),
+        map(
+            str,
+            differences.compare(
+                documents.to_plain(old.configuration),
+                documents.to_plain(new.configuration),
+            ),
         )
     )
     status = results.ExitStatus.NEGATIVE if lines else 0
     return results.Result(lines=lines, status=results.ExitStatus(status))
-
-
-def render(difference):
-    """Return a difference as one line."""
-    old, new = json.dumps(difference.old), json.dumps(difference.new)
-    match difference.change:
-        case differences.Change.ADDED:
-            return f'+ {difference.path}: {new}'
-        case differences.Change.REMOVED:
-            return f'- {difference.path}: {old}'
-    return f'~ {difference.path}: {old} -> {new}'
--- a/packages/savoryyoke/savoryyoke/configuration/differences.py
+++ b/packages/savoryyoke/savoryyoke/configuration/differences.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import json
 
 from savoryyoke.configuration import faults
 
@@ -26,6 +27,16 @@
     old: object
     new: object
 
+    def __str__(self):
+        """Return the difference as one line."""
+        old, new = json.dumps(self.old), json.dumps(self.new)
+        match self.change:
+            case Change.ADDED:
+                return f'+ {self.path}: {new}'
+            case Change.REMOVED:
+                return f'- {self.path}: {old}'
+        return f'~ {self.path}: {old} -> {new}'
+
 
 def compare(old_tree, new_tree):
     """Yield the ``Difference`` objects of two trees, sorted by path.
