--- a/packages/savoryyoke/tests/published/test_view.py
+++ b/packages/savoryyoke/tests/published/test_view.py
@@ -80,6 +80,27 @@
             build_revision(3), self.view.items_by_key['config'].revision
         )
 
+    def test_item_newer_than_a_snapshot_that_lacks_it_stays(self):
+        """Check that a target that has just registered is not lost.
+
+        The pages of a snapshot are read one after the other. An item that was
+        written meanwhile is on a later page, with a revision above that of
+        the snapshot. A peer's snapshot that was read earlier lacks it, which
+        is no removal.
+        """
+        # The first page was read at revision 6, the page with t3 after 8.
+        self.view.apply(
+            build_snapshot(6, config=3, t1=4, t2=5, t3=8), now_s=1.0
+        )
+        changed = self.view.apply(
+            build_snapshot(7, config=3, t1=4, t2=5), now_s=2.0
+        )
+        self.assertFalse(changed)
+        self.assertEqual({'config', 't1', 't2', 't3'}, self.keys())
+        # A snapshot as new as the item knows whether it was removed.
+        self.view.apply(build_snapshot(8, config=3, t1=4, t2=5), now_s=3.0)
+        self.assertEqual({'config', 't1', 't2'}, self.keys())
+
     def test_empty_changes_renew_the_age(self):
         self.assertFalse(self.view.apply(build_changes(5), now_s=3.0))
         self.assertEqual(1.0, self.view.age_s(now_s=4.0))
