--- a/packages/savoryyoke/savoryyoke/groups/balancing/demand.py
+++ b/packages/savoryyoke/savoryyoke/groups/balancing/demand.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+import operator
 
 from savoryyoke.groups.balancing import conf
 from savoryyoke.groups.balancing import shifts
@@ -30,8 +31,8 @@
         previous_counts, self._engine_counts = self._engine_counts, counts
         if previous_counts is None or len(previous_counts) != len(counts):
             return
-        if not any(map(int.__lt__, counts, previous_counts)):
-            self.add(list(map(int.__sub__, counts, previous_counts)))
+        if not any(map(operator.lt, counts, previous_counts)):
+            self.add(list(map(operator.sub, counts, previous_counts)))
 
     def add(self, choices):
         """Add choices, such as those that another rank has reported.
@@ -42,7 +43,7 @@
         if self._sum is None or len(self._sum) != len(choices):
             self._sum = list(choices)
         else:
-            self._sum = list(map(int.__add__, self._sum, choices))
+            self._sum = list(map(operator.add, self._sum, choices))
 
     def pop_choices(self):
         """Return the choices since the last call; None if there are none."""
@@ -108,7 +109,7 @@
             self._reference_counts = [0] * len(self._reference_counts)
             self._drop_mixed_choices(now_s)
             recent_counts = self._sum_recent()
-        total_counts = list(map(float.__add__, self._baseline, recent_counts))
+        total_counts = list(map(operator.add, self._baseline, recent_counts))
         if not self._is_enough(total_counts):
             return None
         return [
@@ -124,17 +125,17 @@
             received_s, choices = self._recent.popleft()
             self._reference.append((received_s, choices))
             self._reference_counts = list(
-                map(int.__add__, self._reference_counts, choices)
+                map(operator.add, self._reference_counts, choices)
             )
             self._decay_baseline(received_s)
             self._baseline = list(
-                map(float.__add__, self._baseline, map(float, choices))
+                map(operator.add, self._baseline, map(float, choices))
             )
         oldest_s = now_s - conf.RECENT_WINDOW_S - conf.REFERENCE_WINDOW_S
         while self._reference and self._reference[0][0] < oldest_s:
             _, choices = self._reference.popleft()
             self._reference_counts = list(
-                map(int.__sub__, self._reference_counts, choices)
+                map(operator.sub, self._reference_counts, choices)
             )
 
     def _decay_baseline(self, now_s):
@@ -147,7 +148,7 @@
     def _sum_recent(self):
         recent_counts = [0] * len(self._baseline)
         for _, choices in self._recent:
-            recent_counts = list(map(int.__add__, recent_counts, choices))
+            recent_counts = list(map(operator.add, recent_counts, choices))
         return list(map(float, recent_counts))
 
     def _detect_shift(self, recent_counts, now_s):
@@ -211,4 +212,4 @@
 
 def _find_distance(demand, reference_demand):
     """Return the total variation distance of two demands of one set."""
-    return sum(map(abs, map(float.__sub__, demand, reference_demand))) / 2
+    return sum(map(abs, map(operator.sub, demand, reference_demand))) / 2
