Measure what the agents of a group cost together

python -m tools.measure.agents runs the agents of 12 ranks with the engine client, the choice reports, the exchange and the planning, and no map changes.

--- a/tools/measure/__main__.py
+++ b/tools/measure/__main__.py
@@ -27,6 +27,7 @@
     ('expert_demand',),
     ('engine_calls',),
     ('agent_messages',),
+    ('agents',),
 )
 
 
