--- a/packages/savoryyoke-edge/savoryyoke_edge/persistent_calls.py
+++ b/packages/savoryyoke-edge/savoryyoke_edge/persistent_calls.py
@@ -13,6 +13,7 @@
 
 from savoryyoke_edge import exceptions
 
+# Answers of engines take some KB.
 _RECEIVE_BYTES = 16 * 1024
 # Limits a head, and what follows a part of a body: chunk sizes and trailers.
 # h11 has the same limit.
@@ -28,21 +29,27 @@
     body: bytes
 
 
+def make_buffer():
+    """Return a buffer for received bytes."""
+    return bytearray(_RECEIVE_BYTES)
+
+
 class Caller:
     """Call one server, with at most ``max_connections`` calls at a time.
 
     Connections stay open between calls. A call is sent once and never
     repeated. If it fails, its connection and the idle ones are closed; other
-    calls continue.
+    calls continue. ``buffer`` is from ``make_buffer``; all callers of a thread
+    may share one.
     """
 
-    def __init__(self, *, host, port, max_connections, limit_bytes):
+    def __init__(self, *, host, port, max_connections, limit_bytes, buffer):
         self._host = host
         self._port = port
         self._limit_bytes = limit_bytes
         self._slots = anyio.Semaphore(max_connections, fast_acquire=True)
         self._idle_connections = []
-        self._receive_buffer = bytearray(_RECEIVE_BYTES)
+        self._buffer = buffer
 
     async def call(self, method, path, *, timeout_s, body=b''):
         """Return the ``Answer`` to a request with a JSON body or none.
@@ -90,7 +97,7 @@
         try:
             _, connection = await loop.create_connection(
                 lambda: _Connection(
-                    buffer=self._receive_buffer, limit_bytes=self._limit_bytes
+                    buffer=self._buffer, limit_bytes=self._limit_bytes
                 ),
                 self._host,
                 self._port,
@@ -113,7 +120,7 @@
 class _Connection(asyncio.BufferedProtocol):
     """Exchange one request and its answer at a time.
 
-    ``buffer`` may be shared by connections, as its content is used at once.
+    The content of ``buffer`` is used at once, so connections can share it.
     """
 
     def __init__(self, *, buffer, limit_bytes):
--- a/packages/savoryyoke-edge/tests/test_persistent_calls.py
+++ b/packages/savoryyoke-edge/tests/test_persistent_calls.py
@@ -183,6 +183,7 @@
                     port=port,
                     max_connections=max_connections,
                     limit_bytes=LIMIT_BYTES,
+                    buffer=persistent_calls.make_buffer(),
                 )
                 with anyio.fail_after(TIMEOUT_S):
                     await call(caller)
@@ -399,6 +400,7 @@
                 port=1,
                 max_connections=1,
                 limit_bytes=LIMIT_BYTES,
+                buffer=persistent_calls.make_buffer(),
             )
             for _ in range(3):
                 with self.assertRaises(exceptions.ConnectError):
