Poll an idle connection to an engine before it is used again

An engine may close a connection right after an answer without saying so. If the next call follows at once, as an observation follows an order, the event loop has not seen the close yet and the call fails; the pool of httpcore polled the socket for this.

--- a/packages/savoryyoke-edge/savoryyoke_edge/persistent_calls.py
+++ b/packages/savoryyoke-edge/savoryyoke_edge/persistent_calls.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import dataclasses
+import select
 
 import anyio
 import httptools
@@ -78,15 +79,16 @@
             raise
         finally:
             self._slots.release()
-        if connection.is_reusable:
+        if connection.is_open:
             self._idle_connections.append(connection)
         return answer
 
     def _pop_idle_connection(self):
         while self._idle_connections:
             connection = self._idle_connections.pop()
-            if connection.is_reusable:
+            if connection.is_reusable():
                 return connection
+            connection.close()
         return None
 
     def _close_idle_connections(self):
@@ -128,13 +130,22 @@
         self._parser = AnswerParser(limit_bytes=limit_bytes)
         self._transport = None
         self._ended = None
+        self._poll = select.poll()
         self._is_open = False
 
     @property
-    def is_reusable(self):
-        """Return whether another request can be sent."""
+    def is_open(self):
+        """Return whether the connection is not known to be closed."""
         return self._is_open
 
+    def is_reusable(self):
+        """Return whether another request can be sent.
+
+        It can't if the server has closed the connection or sent anything
+        since its last answer, also if the event loop has not seen it yet.
+        """
+        return self._is_open and not self._poll.poll(0)
+
     async def exchange(self, request, *, deadline_s):
         """Send a request and return the ``Answer``.
 
@@ -162,6 +173,8 @@
     def connection_made(self, transport):
         """Start to use a new connection."""
         self._transport = transport
+        number = transport.get_extra_info('socket').fileno()
+        self._poll.register(number, select.POLLIN)
         self._is_open = True
 
     def get_buffer(self, sizehint):
