--- a/packages/savoryyoke-edge/savoryyoke_edge/persistent_calls.py
+++ b/packages/savoryyoke-edge/savoryyoke_edge/persistent_calls.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import dataclasses
+import select
 
 import anyio
 import httptools
@@ -14,6 +15,7 @@
 from savoryyoke_edge import exceptions
 from savoryyoke_edge import statuses
 
+# Answers of engines take some KB.
 _RECEIVE_BYTES = 16 * 1024
 # Limits a head, and what follows a part of a body: chunk sizes and trailers.
 # h11 has the same limit.
@@ -29,21 +31,27 @@
     body: bytes
 
 
+def make_buffer():
+    """Return a buffer for received bytes."""
+    return bytearray(_RECEIVE_BYTES)
+
+
 class Caller:
     """Call one server, with at most ``max_connections`` calls at a time.
 
     Connections stay open between calls. A call is sent once and never
     repeated. If it fails, its connection and the idle ones are closed; other
-    calls continue.
+    calls continue. ``buffer`` is from ``make_buffer``; all callers of a thread
+    may share one.
     """
 
-    def __init__(self, *, host, port, max_connections, limit_bytes):
+    def __init__(self, *, host, port, max_connections, limit_bytes, buffer):
         self._host = host
         self._port = port
         self._limit_bytes = limit_bytes
         self._slots = anyio.Semaphore(max_connections, fast_acquire=True)
         self._idle_connections = []
-        self._receive_buffer = bytearray(_RECEIVE_BYTES)
+        self._buffer = buffer
 
     async def call(self, method, path, *, timeout_s, body=b''):
         """Return the ``Answer`` to a request with a JSON body or none.
@@ -72,15 +80,16 @@
             raise
         finally:
             self._slots.release()
-        if connection.is_reusable:
+        if connection.is_open:
             self._idle_connections.append(connection)
         return answer
 
     def _pop_idle_connection(self):
         while self._idle_connections:
             connection = self._idle_connections.pop()
-            if connection.is_reusable:
+            if connection.is_reusable():
                 return connection
+            connection.close()
         return None
 
     def _close_idle_connections(self):
@@ -91,7 +100,7 @@
         try:
             _, connection = await loop.create_connection(
                 lambda: _Connection(
-                    buffer=self._receive_buffer, limit_bytes=self._limit_bytes
+                    buffer=self._buffer, limit_bytes=self._limit_bytes
                 ),
                 self._host,
                 self._port,
@@ -114,7 +123,7 @@
 class _Connection(asyncio.BufferedProtocol):
     """Exchange one request and its answer at a time.
 
-    ``buffer`` may be shared by connections, as its content is used at once.
+    The content of ``buffer`` is used at once, so connections can share it.
     """
 
     def __init__(self, *, buffer, limit_bytes):
@@ -122,13 +131,22 @@
         self._parser = AnswerParser(limit_bytes=limit_bytes)
         self._transport = None
         self._ended = None
+        self._poll = select.poll()
         self._is_open = False
 
     @property
-    def is_reusable(self):
-        """Return whether another request can be sent."""
+    def is_open(self):
+        """Return whether the connection is not known to be closed."""
         return self._is_open
 
+    def is_reusable(self):
+        """Return whether another request can be sent.
+
+        It can't if the server has closed the connection or sent anything
+        since its last answer, also if the event loop has not seen it yet.
+        """
+        return self._is_open and not self._poll.poll(0)
+
     async def exchange(self, request, *, deadline_s):
         """Send a request and return the ``Answer``.
 
@@ -156,6 +174,8 @@
     def connection_made(self, transport):
         """Start to use a new connection."""
         self._transport = transport
+        number = transport.get_extra_info('socket').fileno()
+        self._poll.register(number, select.POLLIN)
         self._is_open = True
 
     def get_buffer(self, sizehint):
--- a/packages/savoryyoke-edge/tests/test_persistent_calls.py
+++ b/packages/savoryyoke-edge/tests/test_persistent_calls.py
@@ -98,6 +98,9 @@
             HEAD + b'Content-Length: x\r\n\r\n',
             HEAD + b'Content-Length: -3\r\n\r\n',
             HEAD + b'Content-Length: 3\r\nContent-Length: 4\r\n\r\nabc',
+            HEAD + b'Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n'
+            b'3\r\nabc\r\n0\r\n\r\n',
+            HEAD + b'Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n',
             HEAD + b'Transfer-Encoding: gzip\r\n\r\nabc',
             HEAD + b'Transfer-Encoding: chunked\r\n\r\nx\r\n',
             HEAD + b'No colon\r\n\r\n',
@@ -180,6 +183,7 @@
                     port=port,
                     max_connections=max_connections,
                     limit_bytes=LIMIT_BYTES,
+                    buffer=persistent_calls.make_buffer(),
                 )
                 with anyio.fail_after(TIMEOUT_S):
                     await call(caller)
@@ -396,6 +400,7 @@
                 port=1,
                 max_connections=1,
                 limit_bytes=LIMIT_BYTES,
+                buffer=persistent_calls.make_buffer(),
             )
             for _ in range(3):
                 with self.assertRaises(exceptions.ConnectError):
