Repeat a missed hold for a later pass

Cause: the leader ordered another rank to hold the group one pass ahead, but an order to another VM takes about as long as a pass, so that the pass had begun when the order arrived.

Each missed hold of a change now adds a pass, up to MAX_PASSES_AHEAD. Ruled out: a hold for another step (engines report none) and another epoch (the group wasn't formed anew). The log line of an order to another rank has its epoch, its pass and the newest known pass.

--- a/packages/savoryyoke-agent/savoryyoke_agent/daemon.py
+++ b/packages/savoryyoke-agent/savoryyoke_agent/daemon.py
@@ -322,6 +322,9 @@
             host=host,
             order=type(order).__name__.lower(),
             result=result.value,
+            epoch=order.epoch,
+            step=order.step,
+            newest_step=self._agent.state.step,
         )
         await self.observe_remote_rank(host)
 
--- a/packages/savoryyoke/savoryyoke/groups/rollout/leader.py
+++ b/packages/savoryyoke/savoryyoke/groups/rollout/leader.py
@@ -75,6 +75,8 @@
         self._hold_rank = term.rank
         # Number of the first directive that names the hold rank.
         self._hold_rank_sequence = 0
+        # How often the pass of a hold has begun before the hold took effect.
+        self._missed_holds = 0
         self._has_ordered_own_rank = False
         self._last_intervention_s = now_s
         self._previous_directive = previous_directive
@@ -136,6 +138,7 @@
         ).step
         self._hold_rank = self._choose_hold_rank()
         self._hold_rank_sequence = self._sequence + 1
+        self._missed_holds = 0
         return self._enter_phase(_Phase.PREPARE, now_s)
 
     @apply.register
@@ -234,7 +237,9 @@
 
         The number falls as passes get longer, for example because of a slow
         rank. The duration of a pass is the mean since the start of the
-        change, as observed on the leader's own rank.
+        change, as observed on the leader's own rank. The number grows with
+        each hold that came too late, because an order may take longer than a
+        pass.
         """
         received = self._reports.find(self._term.rank)
         passes = received.report.state.step - self._change_first_step
@@ -242,9 +247,8 @@
             passes, 1
         )
         passes_ahead = math.ceil(conf.SWITCH_LEAD_TIME_S / max(pass_s, 0.001))
-        return min(
-            max(passes_ahead, conf.MIN_PASSES_AHEAD), conf.MAX_PASSES_AHEAD
-        )
+        passes_ahead = max(passes_ahead, conf.MIN_PASSES_AHEAD)
+        return min(passes_ahead + self._missed_holds, conf.MAX_PASSES_AHEAD)
 
     def _enter_hold(self, newest_step, now_s):
         """Order the hold rank to hold the group a few passes ahead."""
@@ -296,6 +300,7 @@
             return self._enter_phase(_Phase.ARM, now_s)
         newest_step = max(state.step for state in self._reports.list_states())
         if newest_step >= self._switch_step:
+            self._missed_holds += 1
             return self._enter_hold(newest_step, now_s)
         return ()
 
--- a/packages/savoryyoke/tests/groups/rollout/test_rollout.py
+++ b/packages/savoryyoke/tests/groups/rollout/test_rollout.py
@@ -86,6 +86,40 @@
                 self.assertEqual([], simulation.mixed_passes)
 
 
+class DelayedOrderWorld(world.World):
+    """Carry out an order from another VM only after the next pass began."""
+
+    def __init__(self, **arguments):
+        super().__init__(**arguments)
+        self._delayed_orders = []
+
+    def _send_order(self, sender_rank, rank, order):
+        if sender_rank == rank:
+            return super()._send_order(sender_rank, rank, order)
+        self._delayed_orders.append((self.engines[rank].step, rank, order))
+        return events.OrderResult.UNKNOWN
+
+    def _begin_pass(self):
+        super()._begin_pass()
+        for delayed in list(self._delayed_orders):
+            given_step, rank, order = delayed
+            if self.engines[rank].step > given_step:
+                self._delayed_orders.remove(delayed)
+                self.engines[rank].execute(order, self.now_s)
+
+
+class DelayedOrderTests(unittest.TestCase):
+    """Guard against holds that arrive after their pass again and again."""
+
+    def test_group_switches_although_holds_take_a_pass(self):
+        simulated = DelayedOrderWorld(
+            ranks=4, faults=world.Faults(), seed=3, pass_s=0.14
+        )
+        simulated.run(10.0)
+        self.assertGreaterEqual(simulated.switches, 5)
+        self.assertEqual(simulated.mixed_passes, [])
+
+
 class FrozenHolderTests(unittest.TestCase):
     """Simulate VMs that freeze right after they ordered to hold the group.
 
