End a map change whose demand is over

Cause: a leader looks for shifts of demand only between changes.

While ranks copy experts nothing is armed or held, so the change may end at once and the next one begins. Its version is above that of the ended change, which engines refuse to go below although their states don't show it.

--- a/packages/savoryyoke-agent/savoryyoke_agent/balancer.py
+++ b/packages/savoryyoke-agent/savoryyoke_agent/balancer.py
@@ -1,6 +1,7 @@
 """Plan expert maps on the leader's VM."""
 
 import collections
+import math
 
 import anyio
 
@@ -32,6 +33,7 @@
         self.contents = contents.MapContents()
         self._steps = collections.deque()
         self._last_keep_reason = None
+        self._last_shift_s = -math.inf
 
     def set_shape(self, shape):
         """Set the ``GroupShape``; a changed one discards demand and maps."""
@@ -78,11 +80,7 @@
             return self._keep_map(version, 'passes-short')
         estimated_demand = self._demand.estimate(now_s=self._clock())
         if self._demand.shift_distance is not None:
-            logs.write_event(
-                'demand_shifted',
-                distance=self._demand.shift_distance,
-                min_distance=self._demand.min_shift_distance,
-            )
+            self._report_shift(self._clock())
         if estimated_demand is None:
             return self._keep_map(version, 'demand-unknown')
         if self._is_balanced(present_map, estimated_demand, slowdowns):
@@ -104,6 +102,31 @@
         )
         return plan
 
+    def has_demand_shifted(self):
+        """Return whether demand has shifted since the last plan.
+
+        A shift that the plan may be for isn't reported again.
+        """
+        if self._demand is None:
+            return False
+        now_s = self._clock()
+        self._demand.estimate(now_s=now_s)
+        if self._demand.shift_distance is None:
+            return False
+        is_known = (
+            now_s - self._last_shift_s <= 2 * balancing_conf.RECENT_WINDOW_S
+        )
+        self._report_shift(now_s)
+        return not is_known
+
+    def _report_shift(self, now_s):
+        self._last_shift_s = now_s
+        logs.write_event(
+            'demand_shifted',
+            distance=self._demand.shift_distance,
+            min_distance=self._demand.min_shift_distance,
+        )
+
     def _keep_map(self, version, reason):
         """Log why the map stays in use, unless the last reason was the same.
 
--- a/packages/savoryyoke-agent/savoryyoke_agent/daemon.py
+++ b/packages/savoryyoke-agent/savoryyoke_agent/daemon.py
@@ -455,10 +455,14 @@
         while True:
             await anyio.sleep(conf.PLAN_INTERVAL_S)
             planning_leader = self._leader
-            if (
-                planning_leader is None
-                or planning_leader.phase is not _Phase.IDLE
-            ):
+            if planning_leader is None:
+                continue
+            if planning_leader.phase is _Phase.PREPARE:
+                if self._balancer.has_demand_shifted():
+                    self._apply_to_leader(events.DemandShifted())
+                    self._cycle_due.set()
+                continue
+            if planning_leader.phase is not _Phase.IDLE:
                 continue
             if self._stopping.is_set():
                 continue
--- a/packages/savoryyoke/savoryyoke/groups/rollout/events.py
+++ b/packages/savoryyoke/savoryyoke/groups/rollout/events.py
@@ -52,6 +52,11 @@
     experts: tuple[tuple[tuple[int, ...], ...], ...]
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class DemandShifted:
+    """Report that the map of the change in progress is for earlier demand."""
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class TimePassed:
     """Report that time has passed, for timeouts and repetitions."""
--- a/packages/savoryyoke/savoryyoke/groups/rollout/leader.py
+++ b/packages/savoryyoke/savoryyoke/groups/rollout/leader.py
@@ -18,7 +18,8 @@
 class GroupLeader:
     """Lead a group through the phases of a map change.
 
-    1. PREPARE: every rank copies the experts of the new map.
+    1. PREPARE: every rank copies the experts of the new map. If demand shifts
+       meanwhile, the change ends, so that a map for the new demand is planned.
     2. HOLD: another rank, which the leader orders directly, holds the group
        before a pass that is a few passes ahead. If the leader's VM freezes
        then, a new leader can reach that rank. Its agent has been told in
@@ -126,7 +127,11 @@
         states = self._reports.list_states()
         if any(state.armed is not None for state in states):
             return ()
-        newest_version = max(state.newest_version for state in states)
+        # Engines refuse versions up to that of a change that was ended while
+        # they copied its experts, which their states don't show.
+        newest_version = max(
+            self._version, *(state.newest_version for state in states)
+        )
         self._version = self._choose_version(newest_version)
         self._expert_map = models.ExpertMap(
             version=self._version, experts=event.experts
@@ -141,6 +146,13 @@
         self._missed_holds = 0
         return self._enter_phase(_Phase.PREPARE, now_s)
 
+    @apply.register
+    def _(self, event: events.DemandShifted, *, now_s):
+        if self._phase is not _Phase.PREPARE:
+            return ()
+        # No rank is armed or held yet, so that the next change may begin.
+        return self._end_change('demand shifted', now_s)
+
     @apply.register
     def _(self, event: events.TimePassed, *, now_s):
         new_decisions = self._advance(now_s)
--- a/packages/savoryyoke/tests/groups/rollout/test_rollout.py
+++ b/packages/savoryyoke/tests/groups/rollout/test_rollout.py
@@ -120,6 +120,48 @@
         self.assertEqual(simulated.mixed_passes, [])
 
 
+class ShiftingWorld(world.World):
+    """Report a shift of demand during each second change."""
+
+    shifts = 0
+
+    def _run_leader(self, rank):
+        super()._run_leader(rank)
+        leading = self.processes[rank].leader
+        if (
+            leading is not None
+            and leading.phase is models.Phase.PREPARE
+            and self._proposals % 2
+            and self._proposals > self.shifts
+        ):
+            self.shifts = self._proposals
+            self._apply_to_leader(rank, events.DemandShifted())
+
+
+class ShiftDuringChangeTests(unittest.TestCase):
+    """Guard against waiting for a map of demand that is over."""
+
+    def test_next_change_begins_at_once(self):
+        simulated = ShiftingWorld(ranks=4, faults=world.Faults(), seed=3)
+        simulated.run(10.0)
+        self.assertGreaterEqual(simulated.switches, 5)
+        self.assertGreaterEqual(simulated.shifts, 5)
+        self.assertEqual([], simulated.mixed_passes)
+
+    def test_passes_stay_even_under_faults(self):
+        faults = world.Faults(
+            datagram_loss_share=0.1,
+            late_order_share=0.05,
+            freezes_per_s=0.2,
+            restarts_per_s=0.1,
+        )
+        for seed in range(6):
+            with self.subTest(seed=seed):
+                simulated = ShiftingWorld(ranks=4, faults=faults, seed=seed)
+                simulated.run(20.0)
+                self.assertEqual([], simulated.mixed_passes)
+
+
 class FrozenHolderTests(unittest.TestCase):
     """Simulate VMs that freeze right after they ordered to hold the group.
 
