Keep capacity for more urgent streams

Cause: all ranks of a group run each pass together, so beyond some number of streams each pass is longer than the pause that callers accept, and all streams are late.

savoryyoke.scarcity limits what a group runs by the measured pauses of its streams, reserves part of the limit for more urgent levels, exempts priorities and teams that are served much too seldom, orders teams by their recent work and spreads the return of refused callers. It applies only to services whose streams have routes of different priorities.

--- a/packages/savoryyoke-emulator/savoryyoke_emulator/__main__.py
+++ b/packages/savoryyoke-emulator/savoryyoke_emulator/__main__.py
@@ -39,6 +39,10 @@
             [tables.summarize(result) for result in results]
         )
         print(tables.format_row(label, summary), flush=True)
+        if variant.kinds:
+            _print_kinds(
+                [tables.summarize_kinds(result) for result in results]
+            )
         outcomes = [
             outcome for result in results for outcome in result.outcomes
         ]
@@ -49,5 +53,13 @@
         print(f'{label:32} |{credit_line}|')
 
 
+def _print_kinds(summaries_by_kind):
+    for name in summaries_by_kind[0]:
+        summary = tables.average(
+            [summaries[name] for summaries in summaries_by_kind]
+        )
+        print(tables.format_row(f'  {name}', summary), flush=True)
+
+
 if __name__ == '__main__':
     fire.Fire(emulate)
--- a/packages/savoryyoke-emulator/savoryyoke_emulator/emulation.py
+++ b/packages/savoryyoke-emulator/savoryyoke_emulator/emulation.py
@@ -26,6 +26,7 @@
     """
 
     arrived_s: float
+    kind: models.Kind
     prompt_tokens: int
     events: int
     tries: int = 0
@@ -56,6 +57,15 @@
     def __init__(self, experiment, *, seed):
         self._experiment = experiment
         self._random = random.Random(seed)
+        self._terms = entries.build_terms(experiment)
+        # Drawn from a source of its own, so that experiments without kinds
+        # draw the same numbers as before.
+        self._kind_random = random.Random(seed)
+        self._kinds = experiment.kinds or (
+            models.Kind(
+                name='', share=1.0, priority=1, aim_s=experiment.traffic.aim_s
+            ),
+        )
         self._clock = clocks.VirtualClock()
         self._group = engines.EngineGroup(
             engines=experiment.engines, clock=self._clock
@@ -94,6 +104,7 @@
             random_source=self._random,
             clock=self._clock,
             on_decision=self._apply_decision,
+            terms=self._terms,
         )
 
     def _publish(self):
@@ -145,6 +156,7 @@
         traffic = self._experiment.traffic
         request = _Request(
             arrived_s=self._clock.now_s,
+            kind=self._choose_kind(),
             prompt_tokens=self._choose_size(traffic.prompt_tokens, 0.3),
             events=self._choose_size(traffic.events, traffic.spread),
         )
@@ -154,6 +166,12 @@
         self._send_request(request)
         self._schedule_arrival()
 
+    def _choose_kind(self):
+        (kind,) = self._kind_random.choices(
+            self._kinds, [kind.share for kind in self._kinds]
+        )
+        return kind
+
     def _choose_size(self, mean, spread):
         """Return a random size from a log-normal distribution.
 
@@ -187,10 +205,10 @@
             return
         traffic, fleet = self._experiment.traffic, self._experiment.fleet
         now_s = self._clock.now_s
-        is_on_time = now_s - request.arrived_s < traffic.aim_s
+        is_on_time = now_s - request.arrived_s < request.kind.aim_s
         wait_s = fleet.late_wait_s
         if is_on_time:
-            wait_s = fleet.wait_share * traffic.aim_s
+            wait_s = fleet.wait_share * request.kind.aim_s
         request_id = str(next(self._request_numbers))
         self._waiting_by_id[request_id] = (request, entry)
         request.abandon = functools.partial(
@@ -204,7 +222,8 @@
             events.RequestArrived(
                 request_id=request_id,
                 is_on_time=is_on_time,
-                priority=1,
+                priority=request.kind.priority,
+                route_priority=request.kind.priority,
                 wait_until_s=min(now_s + wait_s, ends_s),
                 time_left_s=max(ends_s - now_s, 0.0),
             )
@@ -229,6 +248,9 @@
             )
 
         def on_event(number):
+            if number > 1:
+                pause_s = self._clock.now_s - request.last_event_s
+                entry.record_pause(decision.target, pause_s)
             self._deliver_event(request, number)
             if number >= request.events:
                 end(self._clock.now_s - started_s)
@@ -281,7 +303,7 @@
             received_s = now_s + self._experiment.engines.first_ms / 1000
             received_s += traffic.callers_away_s
             request.first_event_s = received_s - request.arrived_s
-            request.is_late |= request.first_event_s > traffic.aim_s
+            request.is_late |= request.first_event_s > request.kind.aim_s
         else:
             request.is_late |= now_s - request.last_event_s > traffic.pause_s
         request.last_event_s = now_s
@@ -315,8 +337,9 @@
             models.Outcome(
                 arrived_s=request.arrived_s,
                 ending=ending,
-                credit=credit_by_ending.get(ending, 0.0),
+                credit=request.kind.worth * credit_by_ending.get(ending, 0.0),
                 first_event_s=request.first_event_s,
+                kind=request.kind.name,
             )
         )
 
--- a/packages/savoryyoke-emulator/savoryyoke_emulator/entries.py
+++ b/packages/savoryyoke-emulator/savoryyoke_emulator/entries.py
@@ -6,8 +6,10 @@
 from savoryyoke.placement import events
 from savoryyoke.placement import models
 from savoryyoke.placement import pool
+from savoryyoke.scarcity import models as scarcity_models
 
 _SERVICE = 'streams'
+_GROUP = 'group'
 
 
 def build_targets(engines, *, is_open):
@@ -24,6 +26,9 @@
             slots=engines.slots,
             is_draining=False,
             is_in_service=is_open,
+            group=_GROUP,
+            group_epoch=1,
+            group_rank=rank,
         )
         for rank in range(engines.ranks)
     )
@@ -33,9 +38,10 @@
     """Run the dispatcher of one entry.
 
     ``on_decision(request_id, decision)`` is called once for each request.
+    ``terms`` are the scarcity ``Terms`` of the service, or None.
     """
 
-    def __init__(self, *, fleet, random_source, clock, on_decision):
+    def __init__(self, *, fleet, random_source, clock, on_decision, terms):
         self._clock = clock
         self._on_decision = on_decision
         self.is_up = True
@@ -51,6 +57,7 @@
             ),
             random_fraction=random_source.random,
         )
+        self._dispatcher.pool.set_terms(terms)
 
     def publish(self, targets):
         """Apply a new list of published targets."""
@@ -91,6 +98,10 @@
             )
         )
 
+    def record_pause(self, target, pause_s):
+        """Report the pause between two events of a stream."""
+        self._apply(events.PauseMeasured(target=target, pause_s=pause_s))
+
     def tick(self):
         """Let the dispatcher act on deadlines that have passed."""
         self._apply(events.Ticked())
@@ -102,6 +113,17 @@
             self._on_decision(decision.request_id, decision)
 
 
+def build_terms(experiment):
+    """Return the scarcity ``Terms`` of an experiment, or None."""
+    priorities = {kind.priority for kind in experiment.kinds}
+    if len(priorities) < 2:
+        return None
+    return scarcity_models.Terms(
+        priorities=tuple(sorted(priorities)),
+        pause_limit_s=experiment.traffic.pause_s,
+    )
+
+
 def is_placed(decision):
     """Return whether a decision sends the request to a target."""
     return isinstance(decision, decisions.Place)
--- a/packages/savoryyoke-emulator/savoryyoke_emulator/experiments.py
+++ b/packages/savoryyoke-emulator/savoryyoke_emulator/experiments.py
@@ -41,10 +41,14 @@
         _build_trouble(number, raw, problems)
         for number, raw in enumerate(document.get('trouble', []))
     )
+    kinds = tuple(
+        _build_kind(number, raw, problems)
+        for number, raw in enumerate(document.get('kind', []))
+    )
     for name, kind in (('name', str), ('seconds', (int, float))):
         if not isinstance(document.get(name), kind):
             problems.append(f'{name}: is missing or of another type')
-    known_names = {*_CLASSES_BY_PART, 'trouble', 'name', 'seconds'}
+    known_names = {*_CLASSES_BY_PART, 'trouble', 'kind', 'name', 'seconds'}
     problems.extend(
         f'{name}: is unknown' for name in document.keys() - known_names
     )
@@ -54,6 +58,7 @@
         name=document['name'],
         seconds=float(document['seconds']),
         troubles=tuple(sorted(troubles, key=lambda trouble: trouble.at_s)),
+        kinds=kinds,
         **parts,
     )
 
@@ -102,6 +107,20 @@
     return kind(**{field: fields[field](raw[field]) for field in fields})
 
 
+def _build_kind(number, raw, problems):
+    try:
+        return models.Kind(
+            name=str(raw['name']),
+            share=float(raw['share']),
+            priority=int(raw['priority']),
+            aim_s=float(raw['aim_s']),
+            worth=float(raw.get('worth', 1.0)),
+        )
+    except (KeyError, TypeError, ValueError) as error:
+        problems.append(f'kind {number}: {error!r}')
+        return models.Kind(name='', share=1.0, priority=0, aim_s=1.0)
+
+
 def _build_trouble(number, raw, problems):
     try:
         return models.Trouble(
--- a/packages/savoryyoke-emulator/savoryyoke_emulator/models.py
+++ b/packages/savoryyoke-emulator/savoryyoke_emulator/models.py
@@ -62,6 +62,23 @@
     callers_away_s: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Kind:
+    """Describe one kind of requests.
+
+    ``share`` is its share of all requests relative to the other kinds. Of its
+    ``priority``, 0 is the highest, and ``aim_s`` is the time to the first
+    event within which it is on time. A request that is on time earns the
+    credit ``worth``.
+    """
+
+    name: str
+    share: float
+    priority: int
+    aim_s: float
+    worth: float = 1.0
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Fleet:
     """Describe the entries.
@@ -124,7 +141,8 @@
     """Describe one run.
 
     Requests arrive for ``seconds``; the run lasts ``Traffic.deadline_s``
-    longer so that the last requests can end.
+    longer so that the last requests can end. Without ``kinds``, all requests
+    are of one kind with ``Traffic.aim_s``.
     """
 
     name: str
@@ -134,6 +152,7 @@
     fleet: Fleet
     maps: Maps
     troubles: tuple[Trouble, ...]
+    kinds: tuple[Kind, ...] = ()
 
 
 class Ending(enum.Enum):
@@ -149,11 +168,12 @@
 class Outcome:
     """Hold how one request ended and the credit it earned.
 
-    ``credit`` is between 0 and 1. ``first_event_s`` counts from the arrival
-    of the request; it is None if no event arrived.
+    ``credit`` is between 0 and the ``worth`` of its kind. ``first_event_s``
+    counts from the arrival of the request; it is None if no event arrived.
     """
 
     arrived_s: float
     ending: Ending
     credit: float
     first_event_s: float | None
+    kind: str = ''
--- a/packages/savoryyoke-emulator/savoryyoke_emulator/tables.py
+++ b/packages/savoryyoke-emulator/savoryyoke_emulator/tables.py
@@ -53,6 +53,24 @@
     )
 
 
+def summarize_kinds(result):
+    """Return the ``Summary`` of each kind of requests by its name."""
+    names = sorted({outcome.kind for outcome in result.outcomes})
+    return {
+        name: summarize(
+            dataclasses.replace(
+                result,
+                outcomes=tuple(
+                    outcome
+                    for outcome in result.outcomes
+                    if outcome.kind == name
+                ),
+            )
+        )
+        for name in names
+    }
+
+
 def average(summaries):
     """Return a ``Summary`` with the mean of each field."""
     return Summary(
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/calls.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/calls.py
@@ -24,7 +24,10 @@
     of the caller have the same digest. ``prompt_part_digests`` identify the
     parts of its prompt that other requests share. Targets that run one of
     ``withheld_releases`` must not get the request, since requests that have
-    the digests of ``withheld_pattern`` crash them.
+    the digests of ``withheld_pattern`` crash them. A request that is refused
+    for want of capacity has an ``urgency_level``, where 0 is the most urgent,
+    and ``limit_share`` is the lowest limit of a group of engines then, as a
+    share of its slots.
     """
 
     request: requests.CallerRequest
@@ -51,9 +54,18 @@
     reason: str = ''
     first_failure_reason: str = ''
     retry_after_s: float | None = None
+    urgency_level: int | None = None
+    limit_share: float | None = None
     withheld_releases: frozenset[str] = frozenset()
     withheld_pattern: frozenset[bytes] = frozenset()
 
+    @property
+    def priority(self):
+        """Return the priority; 0 is the highest."""
+        if self.team is not None and self.team.priority is not None:
+            return self.team.priority
+        return self.route.priority
+
     @property
     def is_stream(self):
         """Return whether the answer is a stream of events."""
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/daemon.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/daemon.py
@@ -299,6 +299,7 @@
                 if target.data_centre not in closed_data_centres
             ],
             entry_count=entry_count,
+            terms_by_service=catalogue.find_terms_by_service(),
         )
 
     def _choose_read_pause_s(self):
@@ -361,6 +362,11 @@
                     'Open connections at all addresses.',
                     lambda: self._intake.connections.count,
                 ),
+                'lowest_group_limit': (
+                    'Lowest limit of a group of engines, as a share of its'
+                    ' slots; 1 without scarcity.',
+                    self._dispatching.group_limits,
+                ),
                 'rate_limited_targets': (
                     'Targets that limit their requests per second.',
                     self._dispatching.rate_limited_count,
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/dispatching.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/dispatching.py
@@ -47,11 +47,14 @@
         self._refused_target_ids_by_event = collections.defaultdict(set)
         self._rate_report_numbers = itertools.count()
 
-    def update_targets(self, *, services_by_name, targets, entry_count):
+    def update_targets(
+        self, *, services_by_name, targets, entry_count, terms_by_service=None
+    ):
         """Replace services and targets.
 
         ``entry_count`` is the number of entries that share the request rate of
-        a cold target.
+        a cold target. ``terms_by_service`` holds the scarcity ``Terms`` of the
+        services that have some.
         """
         target_ids = {target.target_id for target in targets}
         for refused_ids in self._refused_target_ids_by_event.values():
@@ -67,11 +70,60 @@
             service_dispatcher.pool.set_cold_rate(
                 _compute_cold_rate_share(service, entry_count)
             )
+            self._set_terms(
+                name, service_dispatcher, (terms_by_service or {}).get(name)
+            )
             self._apply(
                 service_dispatcher,
                 events.TargetsChanged(targets=tuple(service_targets)),
             )
 
+    def _set_terms(self, name, service_dispatcher, terms):
+        account = service_dispatcher.pool.account
+        previous_terms = account.terms if account is not None else None
+        if terms == previous_terms:
+            return
+        service_dispatcher.pool.set_terms(terms)
+        logs.write_event(
+            'scarcity_terms_changed',
+            service=name,
+            priorities=(
+                ','.join(map(str, terms.priorities)) if terms else 'none'
+            ),
+            pause_limit_s=terms.pause_limit_s if terms else None,
+        )
+
+    def record_pause(self, service_name, target, pause_s):
+        """Record the pause in seconds between two events of a stream."""
+        service_dispatcher = self._dispatchers_by_service[service_name]
+        if service_dispatcher.pool.account is not None:
+            self._apply(
+                service_dispatcher,
+                events.PauseMeasured(target=target, pause_s=pause_s),
+            )
+
+    def find_urgency(self, call):
+        """Return the urgency of a call that targets are told, or None."""
+        service_dispatcher = self._dispatchers_by_service[call.service_name]
+        account = service_dispatcher.pool.account
+        if account is None:
+            return None
+        return account.find_urgency(
+            priority=call.route.priority,
+            team_priority=call.team.priority if call.team else None,
+        )
+
+    def group_limits(self):
+        """Return the lowest limit of a group as a share of its slots."""
+        return min(
+            (
+                service_dispatcher.pool.account.lowest_limit_share()
+                for service_dispatcher in self._dispatchers_by_service.values()
+                if service_dispatcher.pool.account is not None
+            ),
+            default=1.0,
+        )
+
     def set_peer_requests(self, *, peer_id, requests_by_target_id):
         """Replace a peer's requests in flight by target id."""
         self._peer_reports_by_id[peer_id] = requests_by_target_id
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/forwarder.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/forwarder.py
@@ -13,6 +13,7 @@
 from savoryyoke.placement import lateness
 from savoryyoke.placement import retry_times
 from savoryyoke.quarantine import fingerprints
+from savoryyoke.scarcity import work
 
 from savoryyoke_gateway import calls
 from savoryyoke_gateway import conf
@@ -86,6 +87,7 @@
             clock=clock,
         )
         self._spent_times = lateness.SpentTimeEstimator()
+        self._works = work.WorkEstimator()
         self._placement_numbers = itertools.count(1)
 
     def buffered_bytes(self):
@@ -204,6 +206,8 @@
         if isinstance(placement, placement_decisions.Refuse):
             call.reason = placement.reason.value
             call.retry_after_s = placement.retry_after_s
+            call.urgency_level = placement.level
+            call.limit_share = placement.limit_share
             return decisions.Refuse(reason=placement.reason.value)
         self._allowances.record_request(call.service_name)
         resume_after = call.request.resume_after
@@ -294,7 +298,7 @@
         arrival = placement_events.RequestArrived(
             request_id=call.placement_id,
             is_on_time=is_on_time,
-            priority=self._find_priority(call),
+            priority=call.priority,
             wait_until_s=self._choose_wait_end_s(call, is_on_time),
             outage_wait_until_s=self._choose_outage_wait_end_s(
                 call, is_on_time
@@ -302,6 +306,10 @@
             time_left_s=max(call.deadline_s - now_s, 0.0),
             regions=call.regions,
             withheld_releases=call.withheld_releases,
+            route_priority=call.route.priority,
+            team=call.team.name if call.team else '',
+            team_priority=call.team.priority if call.team else None,
+            work=self._works.estimate(call.request.size),
         )
         placement = await self._dispatching.place(call.service_name, arrival)
         call.waited_s = self._clock() - now_s
@@ -333,12 +341,6 @@
             wait_s = (call.deadline_s - call.arrived_s) * conf.PLAIN_WAIT_SHARE
         return min(call.arrived_s + wait_s, call.deadline_s)
 
-    @staticmethod
-    def _find_priority(call):
-        if call.team is not None and call.team.priority is not None:
-            return call.team.priority
-        return call.route.priority
-
     def _place_retry(self, call, decision):
         """Return the placement of a further try, or None if there is none.
 
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/requests.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/requests.py
@@ -16,7 +16,7 @@
     ``resume_after`` the id of the last event of a stream that the caller has
     received; each is None if the request does not contain it.
     ``shared_prompt_parts`` are the ids of the parts of its prompt that other
-    requests may share, in order.
+    requests may share, in order. ``size`` is the size that it states, or None.
     """
 
     request_id: str
@@ -29,6 +29,7 @@
     time_left_s: float | None
     resume_after: str | None
     shared_prompt_parts: tuple[str, ...] = ()
+    size: 'RequestSize | None' = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -36,12 +37,23 @@
     """Hold the values that the gateway sets in a request to a target.
 
     ``time_left_s`` is the time after which the target should stop work.
+    ``urgency`` is lower for requests that the target should start first; it
+    is None if the target is not told.
     """
 
     team_name: str | None
     target_id: str
     time_left_s: float
     resume_after: str | None
+    urgency: int | None = None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RequestSize:
+    """Hold the tokens of a prompt and those that its answer may have."""
+
+    prompt_tokens: int
+    answer_tokens: int
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/tries.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/tries.py
@@ -204,6 +204,7 @@
                 target_id=target.target_id,
                 time_left_s=time_left_s,
                 resume_after=resume_after,
+                urgency=self._dispatching.find_urgency(call),
             ),
         )
         call.ledger.apply(events.Sent(target_id=target.target_id))
@@ -272,6 +273,13 @@
             if not complete_events:
                 continue
             attempt.is_awaiting_data = False
+            if call.events_sent:
+                self._dispatching.record_pause(
+                    call.service_name,
+                    target,
+                    (self._clock() - attempt.last_progress_s)
+                    / len(complete_events),
+                )
             await self._forward_events(call, target, head, complete_events)
             attempt.last_progress_s = self._clock()
             attempt.is_awaiting_data = True
--- a/packages/savoryyoke/savoryyoke/catalogue/models.py
+++ b/packages/savoryyoke/savoryyoke/catalogue/models.py
@@ -5,6 +5,7 @@
 
 from savoryyoke.groups.rollout import models as rollout_models
 from savoryyoke.intake import conf as intake_conf
+from savoryyoke.scarcity import models as scarcity_models
 
 
 class RequestKind(enum.Enum):
@@ -28,7 +29,9 @@
     """Describe which requests go to which services, and with which limits.
 
     ``timeout_s`` limits the whole request. ``objective_s`` is the latency
-    objective for the answer, or for the first event of a stream. The
+    objective for the answer, or for the first event of a stream, and
+    ``pause_limit_s`` the longest pause between two events of a stream that is
+    on time; it is None for other routes and if none is configured. The
     ``priority`` 0 is the highest. ``attempts_limit`` is the number of targets
     that one request may be sent to. An empty ``regions`` allows every region.
     """
@@ -45,6 +48,7 @@
     is_public: bool
     is_resumable: bool
     regions: frozenset[str]
+    pause_limit_s: float | None = None
 
     @property
     def may_repeat(self):
@@ -123,6 +127,17 @@
                 return route
         return None
 
+    def find_terms_by_service(self):
+        """Return the ``Terms`` for scarce capacity of services with some."""
+        routes = [
+            route
+            for routes_by_prefix in self.routes_by_prefix_by_host.values()
+            for route in routes_by_prefix.values()
+        ]
+        return scarcity_models.find_terms_by_service(
+            routes=routes, teams=(self.teams_by_key or {}).values()
+        )
+
     def find_team(self, *, key):
         """Return the team with the API key ``key``, or None."""
         if self.teams_by_key is None or key is None:
--- a/packages/savoryyoke/savoryyoke/placement/decisions.py
+++ b/packages/savoryyoke/savoryyoke/placement/decisions.py
@@ -22,9 +22,13 @@
 class Refuse:
     """Refuse the request without sending it to a target.
 
-    The caller should retry after ``retry_after_s`` seconds.
+    The caller should retry after ``retry_after_s`` seconds. For want of
+    capacity, ``level`` is the request's level of urgency and ``limit_share``
+    the lowest limit of a group as a share of its slots.
     """
 
     request_id: str
     reason: models.RefusalReason
     retry_after_s: float
+    level: int | None = None
+    limit_share: float | None = None
--- a/packages/savoryyoke/savoryyoke/placement/dispatcher.py
+++ b/packages/savoryyoke/savoryyoke/placement/dispatcher.py
@@ -11,16 +11,22 @@
 from savoryyoke.placement import models
 from savoryyoke.placement import retry_times
 
+from savoryyoke.scarcity import models as scarcity_models
+
 _Reason = models.RefusalReason
 _MOST_URGENT = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _Waiting:
-    """Hold a queued request; a lower ``rank`` is placed earlier."""
+    """Hold a queued request; a lower ``rank`` is placed earlier.
+
+    ``level`` is its level of urgency for scarce capacity.
+    """
 
     rank: tuple
     priority: int
+    level: int
     arrival: events.RequestArrived | events.MoveRequested
     excluded_target_ids: frozenset[str] = frozenset()
 
@@ -33,7 +39,9 @@
     requests that can still meet their objective, then the others.
 
     A request that is not expected to leave the queue before its wait ends is
-    refused on arrival, with a retry time that spreads callers out.
+    refused on arrival, with a retry time that spreads callers out. If the pool
+    has a scarcity account, an urgent request that arrives may thereby lead to
+    the refusal of less urgent ones.
 
     While no target is in service, for example while a group of engines
     restarts, new requests are refused with a retry time at which the group
@@ -97,6 +105,11 @@
         self._record_service_time(event.service_time_s)
         return self._process_queue(now_s)
 
+    @_apply.register
+    def _(self, event: events.PauseMeasured, now_s):
+        self._pool.record_pause(event.target, event.pause_s, now_s=now_s)
+        return ()
+
     @_apply.register
     def _(self, event: events.TargetLeaving, now_s):
         self._pool.notices.record_leaving(event.target, now_s=now_s)
@@ -180,7 +193,7 @@
             withheld_releases=event.withheld_releases,
         ):
             return self._handle_no_service(event, now_s)
-        waiting = self._enqueue(event)
+        waiting = self._enqueue(event, now_s)
         decided = self._process_queue(now_s)
         self._pool.rate_limits.record_demand(
             priority=event.priority, now_s=now_s
@@ -195,12 +208,16 @@
     def _refuse_hopeless(self, arrived, now_s):
         """Refuse requests that would wait too long behind an arrived one.
 
-        These are the arrived one itself and, if all targets are rate limited,
-        the less urgent ones that it has moved back in the queue.
+        These are the arrived one itself and, if all targets are rate limited
+        or capacity may be scarce, the less urgent ones that it has moved back
+        in the queue.
         """
         position = self._queue.index(arrived)
         affected = [arrived]
-        if self._supply(arrived.arrival, now_s).is_rate_limited:
+        if (
+            self._pool.account is not None
+            or self._supply(arrived.arrival, now_s).is_rate_limited
+        ):
             affected = self._queue[position:]
         refused = []
         for waiting in affected:
@@ -222,7 +239,11 @@
         arrival = waiting.arrival
         supply = self._supply(arrival, now_s)
         if not supply.is_rate_limited:
-            return self._refuse(arrival, reason)
+            if self._is_reserved(waiting, now_s):
+                reason = _Reason.CAPACITY_RESERVED
+            return self._refuse(
+                arrival, reason, level=waiting.level, now_s=now_s
+            )
         position = self._queue.index(waiting) + 1
         return decisions.Refuse(
             request_id=arrival.request_id,
@@ -231,6 +252,19 @@
             + self._random_fraction() * conf.RATE_RETRY_SPREAD_S,
         )
 
+    def _is_reserved(self, waiting, now_s):
+        """Return whether a more urgent request would have been placed."""
+        return (
+            waiting.level != scarcity_models.MOST_URGENT_LEVEL
+            and self._pool.choose(
+                now_s=now_s,
+                regions=waiting.arrival.regions,
+                excluded=waiting.excluded_target_ids,
+                withheld_releases=waiting.arrival.withheld_releases,
+            )
+            is not None
+        )
+
     def _supply(self, arrival, now_s):
         return self._pool.supply(
             now_s=now_s,
@@ -258,15 +292,22 @@
             )
         elif event.is_on_time:
             return [self._refuse(event, _Reason.NO_TARGET)]
-        self._enqueue(event)
+        self._enqueue(event, now_s)
         return ()
 
-    def _enqueue(self, event):
+    def _enqueue(self, event, now_s):
+        account = self._pool.account
+        level, team_work = scarcity_models.MOST_URGENT_LEVEL, 0.0
+        if account is not None:
+            level = account.find_level(event)
+            team_work = account.rank_team(event.team, now_s=now_s)
         return self._insert(
             event,
             is_move=False,
             is_on_time=event.is_on_time,
             priority=event.priority,
+            level=level,
+            team_work=team_work,
         )
 
     def _insert(
@@ -276,12 +317,22 @@
         is_move,
         is_on_time,
         priority,
+        level=scarcity_models.MOST_URGENT_LEVEL,
+        team_work=0.0,
         excluded_target_ids=frozenset(),
     ):
         self._sequence += 1
+        urgency = priority if self._pool.account is None else level
         waiting = _Waiting(
-            rank=(not is_move, not is_on_time, priority, self._sequence),
+            rank=(
+                not is_move,
+                not is_on_time,
+                urgency,
+                team_work,
+                self._sequence,
+            ),
             priority=priority,
+            level=level,
             arrival=event,
             excluded_target_ids=excluded_target_ids,
         )
@@ -301,6 +352,7 @@
             target = self._find_target(waiting, now_s, may_wait=True)
             if target is not None:
                 decided.append(self._place(arrival.request_id, target, now_s))
+                self._record_decision(arrival, is_served=True, now_s=now_s)
             elif now_s >= arrival.wait_until_s:
                 decided.append(
                     self._refuse_waiting(
@@ -321,9 +373,15 @@
             excluded=waiting.excluded_target_ids,
             withheld_releases=waiting.arrival.withheld_releases,
             priority=waiting.priority,
+            level=waiting.level,
             may_wait=may_wait,
         )
 
+    def _record_decision(self, arrival, *, is_served, now_s):
+        account = self._pool.account
+        if account is not None and isinstance(arrival, events.RequestArrived):
+            account.record_decision(arrival, is_served=is_served, now_s=now_s)
+
     def _place(self, request_id, target, now_s):
         in_flight = self._pool.in_flight(target.target_id)
         self._pool.record_sent(target.target_id, now_s=now_s)
@@ -379,7 +437,26 @@
             service_time_s - self._mean_service_time_s
         )
 
-    def _refuse(self, event, reason):
+    def _refuse(self, event, reason, *, level=None, now_s=None):
+        """Return the refusal of a request.
+
+        With a ``level``, it is refused for want of capacity.
+        """
+        account = self._pool.account
+        if account is not None and level is not None:
+            self._record_decision(event, is_served=False, now_s=now_s)
+            return decisions.Refuse(
+                request_id=event.request_id,
+                reason=reason,
+                retry_after_s=account.choose_retry_after_s(
+                    level=level,
+                    longest_s=event.time_left_s * conf.RETRY_AFTER_MAX_SHARE,
+                    placed_per_s=self._pool.placement_rate_per_s(now_s=now_s),
+                    now_s=now_s,
+                ),
+                level=level,
+                limit_share=account.lowest_limit_share(),
+            )
         choose_retry_after_s = retry_times.choose_retry_after_s
         if reason is _Reason.NO_TARGET:
             choose_retry_after_s = retry_times.choose_outage_retry_after_s
--- a/packages/savoryyoke/savoryyoke/placement/events.py
+++ b/packages/savoryyoke/savoryyoke/placement/events.py
@@ -40,7 +40,10 @@
     its place if no target is in service at the arrival; without one, such a
     request is refused at once if it is on time. ``time_left_s`` is the time
     until the caller's deadline. An empty ``regions`` allows every region.
-    Targets that run one of ``withheld_releases`` are not used.
+    Targets that run one of ``withheld_releases`` are not used. ``team`` is the
+    caller's team, ``team_priority`` its own priority, if it has one, and
+    ``route_priority`` that of the route. ``work`` is the work of the request,
+    where 1 is that of the mean one.
     """
 
     request_id: str
@@ -51,6 +54,10 @@
     outage_wait_until_s: float | None = None
     regions: frozenset[str] = frozenset()
     withheld_releases: frozenset[str] = frozenset()
+    route_priority: int = 0
+    team: str = ''
+    team_priority: int | None = None
+    work: float = 1.0
 
     @property
     def wait_ends_s(self):
@@ -119,6 +126,14 @@
     service_time_s: float | None = None
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class PauseMeasured:
+    """Report the pause in seconds between two events of a stream."""
+
+    target: models.Target
+    pause_s: float
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class TargetLeaving:
     """Report that a target has announced in an answer that it leaves."""
--- a/packages/savoryyoke/savoryyoke/placement/models.py
+++ b/packages/savoryyoke/savoryyoke/placement/models.py
@@ -63,3 +63,4 @@
     NO_OTHER_TARGET = 'no-other-target'
     ALL_PAUSED = 'all-paused'
     RATE_LIMITED = 'rate-limited'
+    CAPACITY_RESERVED = 'capacity-reserved'
--- a/packages/savoryyoke/savoryyoke/placement/pool.py
+++ b/packages/savoryyoke/savoryyoke/placement/pool.py
@@ -12,6 +12,9 @@
 from savoryyoke.placement import rate_limits
 from savoryyoke.placement import unseen
 
+from savoryyoke.scarcity import account
+from savoryyoke.scarcity import models as scarcity_models
+
 
 class _ColdRate:
     """Limit the requests per second from one entry to one target.
@@ -76,6 +79,20 @@
         self.cold_rate = _ColdRate()
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _GroupLoad:
+    """Hold the requests in flight at a group, its limit and its slots."""
+
+    in_flight: int
+    limit: float
+    slots: int
+
+
+def _find_group(target):
+    """Return the name of a target's group, or its id without one."""
+    return target.group or target.target_id
+
+
 class TargetPool:
     """Own the state of the targets of one service at one entry.
 
@@ -101,6 +118,34 @@
         self.rate_limits = rate_limits.RateLimits(
             random_fraction=random_fraction
         )
+        self._account = None
+
+    @property
+    def account(self):
+        """Return the ``ScarcityAccount``, or None if there are no terms."""
+        return self._account
+
+    def set_terms(self, terms):
+        """Set the ``Terms`` for scarce capacity; None if there are none."""
+        if terms is None:
+            self._account = None
+        elif self._account is None:
+            self._account = account.ScarcityAccount(
+                terms=terms, random_fraction=self._random_fraction
+            )
+        else:
+            self._account.terms = terms
+
+    def record_pause(self, target, pause_s, *, now_s):
+        """Record the pause between two events of a stream."""
+        if self._account is not None:
+            self._account.record_pause(
+                _find_group(target), pause_s, now_s=now_s
+            )
+
+    def placement_rate_per_s(self, *, now_s):
+        """Return the rate at which this entry places requests."""
+        return self._unseen.rate_per_s(now_s=now_s)
 
     def set_cold_rate(self, rate_per_s):
         """Set this entry's share of the cold limit, per second and target.
@@ -130,6 +175,10 @@
             states_by_id[target.target_id] = state
         self._states_by_id = states_by_id
         self.groups.replace_targets(targets)
+        if self._account is not None:
+            self._account.keep_groups(
+                {_find_group(target) for target in targets}
+            )
 
     def set_peer_requests(self, peer_id, requests_by_target_id, *, now_s):
         """Set the number of requests that a peer has in flight."""
@@ -291,41 +340,83 @@
         excluded=frozenset(),
         withheld_releases=frozenset(),
         priority=0,
+        level=scarcity_models.MOST_URGENT_LEVEL,
         may_wait=False,
     ):
         """Return the best target with free capacity, or None.
 
         Targets with a rate limit have less capacity for requests with a
-        higher ``priority``, which are less urgent. If ``may_wait`` is true,
-        None may also mean that peers have probably taken the free slots of
-        engines.
+        higher ``priority``, which are less urgent. So have groups of engines
+        for those with a higher ``level``. If ``may_wait`` is true, None may
+        also mean that peers have probably taken the free slots of engines.
         """
+        loads_by_group = self._measure_groups(
+            regions, withheld_releases, now_s
+        )
         candidates = [
             state
             for state in self._all_states()
             if state.target.target_id not in excluded
             and self._is_usable(state, regions, withheld_releases, now_s)
             and self._has_capacity(state, priority, now_s)
+            and self._may_use_group(state.target, level, loads_by_group)
         ]
         if not candidates:
             return None
         if self._is_engine:
-            return self._choose_engine(candidates, now_s, may_wait)
-        (best,) = self._find_best(1, candidates, now_s)
+            return self._choose_engine(
+                candidates, loads_by_group, now_s, may_wait
+            )
+        (best,) = self._find_best(1, candidates, loads_by_group, now_s)
         return best.target
 
-    def _find_best(self, count, states, now_s):
+    def _measure_groups(self, regions, withheld_releases, now_s):
+        """Return the ``_GroupLoad`` of each group while there are terms."""
+        if self._account is None:
+            return {}
+        in_flight_by_group = collections.Counter()
+        slots_by_group = collections.Counter()
+        for state in self._all_states():
+            if self._is_usable(state, regions, withheld_releases, now_s):
+                group = _find_group(state.target)
+                in_flight_by_group[group] += self.in_flight(
+                    state.target.target_id
+                )
+                slots_by_group[group] += self._limit(state.target)
+        return {
+            group: _GroupLoad(
+                in_flight=in_flight_by_group[group],
+                limit=self._account.update_limit(
+                    group,
+                    in_flight=in_flight_by_group[group],
+                    slots=slots,
+                    now_s=now_s,
+                ),
+                slots=slots,
+            )
+            for group, slots in slots_by_group.items()
+        }
+
+    def _may_use_group(self, target, level, loads_by_group):
+        load = loads_by_group.get(_find_group(target))
+        if load is None:
+            return True
+        return self._account.may_use(
+            level=level, in_flight=load.in_flight, limit=load.limit
+        )
+
+    def _find_best(self, count, states, loads_by_group, now_s):
         """Return the states of the ``count`` best targets, in order."""
         return heapq.nsmallest(
             count,
             states,
             key=lambda state: (
-                self._score(state, now_s),
+                self._score(state, loads_by_group, now_s),
                 self._random_fraction(),
             ),
         )
 
-    def _choose_engine(self, candidates, now_s, may_wait):
+    def _choose_engine(self, candidates, loads_by_group, now_s, may_wait):
         """Return an engine for a request, or None if it should wait.
 
         Entries that all chose the least loaded engine by reports of the same
@@ -345,7 +436,7 @@
             ):
                 return self._find_own_slot(candidates, now_s)
         choice_count = min(1 + int(unseen_count), len(candidates))
-        best = self._find_best(choice_count, candidates, now_s)
+        best = self._find_best(choice_count, candidates, loads_by_group, now_s)
         number = min(
             int(self._random_fraction() * choice_count), choice_count - 1
         )
@@ -417,13 +508,14 @@
             return min(target.slots, self._policy.engine_requests_per_target)
         return target.slots
 
-    def _score(self, state, now_s):
+    def _score(self, state, loads_by_group, now_s):
         """Return a tuple that sorts lower for a better target.
 
         A target that a hint reports as leaving comes last. The engines of a
         group run each step together, so they are compared by their share of
-        used capacity. Other targets are compared by their expected latency.
-        Both measures grow with the failure rate.
+        used capacity, which a limit of their group reduces. Other targets are
+        compared by their expected latency. Both measures grow with the
+        failure rate.
         """
         target = state.target
         in_flight = self.in_flight(target.target_id)
@@ -432,9 +524,13 @@
         is_remote = target.data_centre != self._own_data_centre
         is_hinted = self.notices.has_leaving_hint(target, now_s=now_s)
         if self._is_engine:
+            load = loads_by_group.get(_find_group(target))
+            capacity = self._limit(target)
+            if load is not None:
+                capacity *= load.limit / load.slots
             return (
                 is_hinted,
-                in_flight / self._limit(target) + failure_penalty,
+                in_flight / capacity + failure_penalty,
                 is_remote,
             )
         latency_s = state.health.latency_s or self._lowest_latency_s()
--- a/packages/savoryyoke/savoryyoke/placement/unseen.py
+++ b/packages/savoryyoke/savoryyoke/placement/unseen.py
@@ -28,12 +28,16 @@
         """Remove a peer that is gone."""
         self._reported_s_by_peer.pop(peer_id, None)
 
-    def estimate(self, *, now_s):
-        """Return the expected number of unnoticed placements."""
+    def rate_per_s(self, *, now_s):
+        """Return the rate at which this entry places requests."""
         oldest_s = now_s - conf.PLACEMENT_RATE_WINDOW_S
         while self._placed_times_s and self._placed_times_s[0] < oldest_s:
             self._placed_times_s.popleft()
-        rate_per_s = len(self._placed_times_s) / conf.PLACEMENT_RATE_WINDOW_S
+        return len(self._placed_times_s) / conf.PLACEMENT_RATE_WINDOW_S
+
+    def estimate(self, *, now_s):
+        """Return the expected number of unnoticed placements."""
+        rate_per_s = self.rate_per_s(now_s=now_s)
         total_age_s = sum(
             min(max(now_s - reported_s, 0.0), conf.REPORT_AGE_MAX_S)
             for reported_s in self._reported_s_by_peer.values()
--- /dev/null
+++ b/packages/savoryyoke/savoryyoke/scarcity/work.py
@@ -0,0 +1,43 @@
+"""Estimate the work that a request needs."""
+
+from savoryyoke.scarcity import conf
+
+_WEIGHT = 0.05
+
+
+class WorkEstimator:
+    """Compare the size of requests with the mean size that was seen.
+
+    An engine reads a prompt in little time and writes the answer in most of
+    it, so that both parts of the size are compared by themselves.
+    """
+
+    def __init__(self):
+        self._mean_prompt_tokens = None
+        self._mean_answer_tokens = None
+
+    def estimate(self, size):
+        """Return the work of a request; 1 is that of the mean request.
+
+        ``size`` has ``prompt_tokens`` and ``answer_tokens``, or is None if
+        the request doesn't state them.
+        """
+        if size is None:
+            return 1.0
+        prompt_tokens = max(size.prompt_tokens, 1)
+        answer_tokens = max(size.answer_tokens, 1)
+        self._mean_prompt_tokens = _average(
+            self._mean_prompt_tokens, prompt_tokens
+        )
+        self._mean_answer_tokens = _average(
+            self._mean_answer_tokens, answer_tokens
+        )
+        work = (
+            prompt_tokens / self._mean_prompt_tokens
+            + answer_tokens / self._mean_answer_tokens
+        ) / 2
+        return min(work, conf.WORK_MAX)
+
+
+def _average(mean, value):
+    return value if mean is None else mean + _WEIGHT * (value - mean)
