--- a/packages/savoryyoke/savoryyoke/groups/rollout/leader.py
+++ b/packages/savoryyoke/savoryyoke/groups/rollout/leader.py
@@ -18,7 +18,8 @@
 class GroupLeader:
     """Lead a group through the phases of a map change.
 
-    1. PREPARE: every rank copies the experts of the new map.
+    1. PREPARE: every rank copies the experts of the new map. If demand shifts
+       meanwhile, the change ends, so that a map for the new demand is planned.
     2. HOLD: another rank, which the leader orders directly, holds the group
        before a pass that is a few passes ahead. If the leader's VM freezes
        then, a new leader can reach that rank. Its agent has been told in
@@ -75,6 +76,8 @@
         self._hold_rank = term.rank
         # Number of the first directive that names the hold rank.
         self._hold_rank_sequence = 0
+        # How often the pass of a hold has begun before the hold took effect.
+        self._missed_holds = 0
         self._has_ordered_own_rank = False
         self._last_intervention_s = now_s
         self._previous_directive = previous_directive
@@ -124,7 +127,11 @@
         states = self._reports.list_states()
         if any(state.armed is not None for state in states):
             return ()
-        newest_version = max(state.newest_version for state in states)
+        # Engines refuse versions up to that of a change that was ended while
+        # they copied its experts, which their states don't show.
+        newest_version = max(
+            self._version, *(state.newest_version for state in states)
+        )
         self._version = self._choose_version(newest_version)
         self._expert_map = models.ExpertMap(
             version=self._version, experts=event.experts
@@ -136,8 +143,16 @@
         ).step
         self._hold_rank = self._choose_hold_rank()
         self._hold_rank_sequence = self._sequence + 1
+        self._missed_holds = 0
         return self._enter_phase(_Phase.PREPARE, now_s)
 
+    @apply.register
+    def _(self, event: events.DemandShifted, *, now_s):
+        if self._phase is not _Phase.PREPARE:
+            return ()
+        # No rank is armed or held yet, so that the next change may begin.
+        return self._end_change('demand shifted', now_s)
+
     @apply.register
     def _(self, event: events.TimePassed, *, now_s):
         new_decisions = self._advance(now_s)
@@ -234,7 +249,9 @@
 
         The number falls as passes get longer, for example because of a slow
         rank. The duration of a pass is the mean since the start of the
-        change, as observed on the leader's own rank.
+        change, as observed on the leader's own rank. The number grows with
+        each hold that came too late, because an order may take longer than a
+        pass.
         """
         received = self._reports.find(self._term.rank)
         passes = received.report.state.step - self._change_first_step
@@ -242,9 +259,8 @@
             passes, 1
         )
         passes_ahead = math.ceil(conf.SWITCH_LEAD_TIME_S / max(pass_s, 0.001))
-        return min(
-            max(passes_ahead, conf.MIN_PASSES_AHEAD), conf.MAX_PASSES_AHEAD
-        )
+        passes_ahead = max(passes_ahead, conf.MIN_PASSES_AHEAD)
+        return min(passes_ahead + self._missed_holds, conf.MAX_PASSES_AHEAD)
 
     def _enter_hold(self, newest_step, now_s):
         """Order the hold rank to hold the group a few passes ahead."""
@@ -296,6 +312,7 @@
             return self._enter_phase(_Phase.ARM, now_s)
         newest_step = max(state.step for state in self._reports.list_states())
         if newest_step >= self._switch_step:
+            self._missed_holds += 1
             return self._enter_hold(newest_step, now_s)
         return ()
 
--- a/packages/savoryyoke/tests/groups/rollout/test_rollout.py
+++ b/packages/savoryyoke/tests/groups/rollout/test_rollout.py
@@ -86,6 +86,82 @@
                 self.assertEqual([], simulation.mixed_passes)
 
 
+class DelayedOrderWorld(world.World):
+    """Carry out an order from another VM only after the next pass began."""
+
+    def __init__(self, **arguments):
+        super().__init__(**arguments)
+        self._delayed_orders = []
+
+    def _send_order(self, sender_rank, rank, order):
+        if sender_rank == rank:
+            return super()._send_order(sender_rank, rank, order)
+        self._delayed_orders.append((self.engines[rank].step, rank, order))
+        return events.OrderResult.UNKNOWN
+
+    def _begin_pass(self):
+        super()._begin_pass()
+        for delayed in list(self._delayed_orders):
+            given_step, rank, order = delayed
+            if self.engines[rank].step > given_step:
+                self._delayed_orders.remove(delayed)
+                self.engines[rank].execute(order, self.now_s)
+
+
+class DelayedOrderTests(unittest.TestCase):
+    """Guard against holds that arrive after their pass again and again."""
+
+    def test_group_switches_although_holds_take_a_pass(self):
+        simulated = DelayedOrderWorld(
+            ranks=4, faults=world.Faults(), seed=3, pass_s=0.14
+        )
+        simulated.run(10.0)
+        self.assertGreaterEqual(simulated.switches, 5)
+        self.assertEqual(simulated.mixed_passes, [])
+
+
+class ShiftingWorld(world.World):
+    """Report a shift of demand during each second change."""
+
+    shifts = 0
+
+    def _run_leader(self, rank):
+        super()._run_leader(rank)
+        leading = self.processes[rank].leader
+        if (
+            leading is not None
+            and leading.phase is models.Phase.PREPARE
+            and self._proposals % 2
+            and self._proposals > self.shifts
+        ):
+            self.shifts = self._proposals
+            self._apply_to_leader(rank, events.DemandShifted())
+
+
+class ShiftDuringChangeTests(unittest.TestCase):
+    """Guard against waiting for a map of demand that is over."""
+
+    def test_next_change_begins_at_once(self):
+        simulated = ShiftingWorld(ranks=4, faults=world.Faults(), seed=3)
+        simulated.run(10.0)
+        self.assertGreaterEqual(simulated.switches, 5)
+        self.assertGreaterEqual(simulated.shifts, 5)
+        self.assertEqual([], simulated.mixed_passes)
+
+    def test_passes_stay_even_under_faults(self):
+        faults = world.Faults(
+            datagram_loss_share=0.1,
+            late_order_share=0.05,
+            freezes_per_s=0.2,
+            restarts_per_s=0.1,
+        )
+        for seed in range(6):
+            with self.subTest(seed=seed):
+                simulated = ShiftingWorld(ranks=4, faults=faults, seed=seed)
+                simulated.run(20.0)
+                self.assertEqual([], simulated.mixed_passes)
+
+
 class FrozenHolderTests(unittest.TestCase):
     """Simulate VMs that freeze right after they ordered to hold the group.
 
