--- a/packages/savoryyoke-edge/savoryyoke_edge/bounded_input.py
+++ b/packages/savoryyoke-edge/savoryyoke_edge/bounded_input.py
@@ -24,6 +24,8 @@
 # its turn, so reads are small where bytes are costly to parse.
 _READ_BYTES = 16 * 1024
 _BODY_READ_BYTES = 64 * 1024
+# Bytes of a head that are parsed before its lines are counted.
+_HEAD_PIECE_BYTES = 4096
 # All connections read into the same memory, since its content is used before
 # the next read.
 _READ_MEMORY = memoryview(bytearray(_BODY_READ_BYTES))
@@ -296,8 +298,12 @@
         has_answer = has_cycle and cycle.response_started
         if has_cycle:
             cycle.disconnected = True
+            cycle.waiting_for_100_continue = False
             cycle.body = bytearray()
             cycle.message_event.set()
+        # What the parser has kept is not needed while the connection lingers.
+        self.parser = None
+        self.headers = self.scope = None
         if not has_answer:
             self.transport.write(_build_refusal(status))
         if has_answer or not lingers or self.transport.is_closing():
@@ -386,10 +392,9 @@
 
     def _parse_head(self, data, position):
         limit_bytes = self.intake.header_bytes + intake_conf.HEAD_SLACK_BYTES
-        end = min(
-            self._find_end(data, position),
-            position + limit_bytes - self._head_bytes,
-        )
+        piece_bytes = min(limit_bytes - self._head_bytes, _HEAD_PIECE_BYTES)
+        stop = min(position + piece_bytes, len(data))
+        end = self._find_end(data, position, stop)
         self._head_bytes += end - position
         self._feed(data, position, end)
         if self._is_ending or self._stage is not _Stage.HEAD:
@@ -401,7 +406,7 @@
         return end
 
     def _parse_chunks(self, data, position):
-        end = self._find_end(data, position)
+        end = self._find_end(data, position, len(data))
         body_bytes = self._body_bytes
         self._feed(data, position, end)
         if self._is_ending or self._stage is not _Stage.BODY:
@@ -415,24 +420,25 @@
             self.refuse(431, 'framing')
         return end
 
-    def _find_end(self, data, position):
-        """Return where the next empty line ends, or the end of ``data``.
+    def _find_end(self, data, position, stop):
+        """Return where the next empty line ends, or ``stop``.
 
-        A head ends there, and so does a chunked body.
+        A head ends there, and so does a chunked body. The line may have begun
+        in bytes that were parsed before.
         """
         if self._tail:
             tail_bytes = len(self._tail)
-            joined = self._tail + data[position : position + 3]
+            joined = self._tail + data[position : min(position + 3, stop)]
             index = joined.find(_EMPTY_LINE)
             if index >= 0:
                 self._tail = b''
                 return position + index + 4 - tail_bytes
-        index = data.find(_EMPTY_LINE, position)
+        index = data.find(_EMPTY_LINE, position, stop)
         if index >= 0:
             self._tail = b''
             return index + 4
-        self._tail = (self._tail + data[position:][-3:])[-3:]
-        return len(data)
+        self._tail = (self._tail + data[max(position, stop - 3) : stop])[-3:]
+        return stop
 
     def _feed(self, data, position, end):
         """Pass a piece of ``data`` to the parser."""
