Count unread answers from 16 KiB on, and let idle connections end

Cause: up to 64 KiB of an unread answer were not counted, 121 MB with as many connections as 4,100 descriptors allow. And an empty line after an answer ended the timer of an idle connection, so that it stayed open.

Tested by packages/savoryyoke-edge/tests/test_bounded_input.py (25 tests) and 68 tests of five modules of platform/tests: passed.

--- a/packages/savoryyoke-edge/savoryyoke_edge/bounded_input.py
+++ b/packages/savoryyoke-edge/savoryyoke_edge/bounded_input.py
@@ -31,6 +31,9 @@
 _READ_MEMORY = memoryview(bytearray(_BODY_READ_BYTES))
 _READ_VIEW = _READ_MEMORY[:_READ_BYTES]
 
+# An unread answer counts against the budget from this size on.
+_UNSENT_BYTES = 16 * 1024
+
 # A refused caller that still sends would lose the answer if its connection
 # were closed at once. Its bytes are dropped for this time and size.
 _LINGER_S = 1.0
@@ -162,6 +165,7 @@
         """Account for a new connection, in place of another if necessary."""
         super().connection_made(transport)
         self.flow = _HoldableFlow(transport)
+        transport.set_write_buffer_limits(high=_UNSENT_BYTES)
         self._account = intake_budget.Account(owner=self)
         self._is_counted = True
         self.intake.connections.open(self)
@@ -190,7 +194,6 @@
         if self._is_ending:
             self._discard(nbytes)
             return
-        self._unset_keepalive_if_required()
         data = bytes(_READ_MEMORY[:nbytes])
         if self._held:
             self._hold(self._held + data)
@@ -256,6 +259,7 @@
         if self.cycle.response_complete:
             # The application has answered without reading the body.
             self._wait_for_request()
+            self._unset_keepalive_if_required()
             self.timeout_keep_alive_task = self.loop.call_later(
                 self.timeout_keep_alive, self.timeout_keep_alive_handler
             )
@@ -371,6 +375,8 @@
                 if position == len(data) or self._is_ending:
                     return position
                 self._has_begun = True
+                # Empty lines alone don't keep an idle connection open.
+                self._unset_keepalive_if_required()
             return self._parse_head(data, position)
         if self._remaining_bytes is None:
             return self._parse_chunks(data, position)
@@ -484,7 +490,6 @@
         if self._is_ending or self.transport.is_closing():
             return
         data, self._held = self._held, b''
-        self._unset_keepalive_if_required()
         self._take(data)
 
     def _watch_body(self, seen_bytes):
--- a/packages/savoryyoke-edge/tests/test_bounded_input.py
+++ b/packages/savoryyoke-edge/tests/test_bounded_input.py
@@ -42,11 +42,13 @@
     """Answer with the number of headers and the size of the body.
 
     ``/held`` waits for ``may_answer``, ``/early`` does not read the body.
+    ``padding`` is added to the answers.
     """
 
     def __init__(self):
         self.may_answer = asyncio.Event()
         self.runs = []
+        self.padding = b''
 
     async def __call__(self, scope, receive, send):
         size = 0
@@ -60,7 +62,7 @@
         self.runs.append(scope['path'])
         if scope['path'] == '/held':
             await self.may_answer.wait()
-        body = b'%d,%d' % (len(scope['headers']), size)
+        body = b'%d,%d' % (len(scope['headers']), size) + self.padding
         length = (b'content-length', b'%d' % len(body))
         await send(
             {'type': 'http.response.start', 'status': 200, 'headers': [length]}
@@ -244,6 +246,37 @@
         await connection.send(b'cd' + GET)
         self.assertEqual(200, await connection.receive_status())
 
+    async def test_empty_lines_do_not_keep_a_connection_open(self):
+        with mock.patch.object(self.server.config, 'timeout_keep_alive', 0.2):
+            connection = await self.connect()
+            await connection.send(GET)
+            self.assertEqual(200, await connection.receive_status())
+            await connection.send(b'\r\n')
+            with anyio.fail_after(TIMEOUT_S):
+                self.assertEqual(0, await connection.receive_status())
+
+    async def test_answer_that_is_not_read(self):
+        self.intake.idle_s = 0.1
+        self.application.padding = bytes(16 * 1024 * 1024)
+        connection = await self.connect()
+        await connection.send(GET)
+        with anyio.fail_after(TIMEOUT_S):
+            while not self.causes:
+                await asyncio.sleep(0.01)
+        self.assertEqual(['answer-not-read'], self.causes)
+        await asyncio.sleep(0.05)
+        self.assertEqual(0, self.intake.answers.total_bytes)
+
+    async def test_unread_answer_counts(self):
+        self.application.padding = bytes(16 * 1024 * 1024)
+        connection = await self.connect()
+        await connection.send(GET)
+        await asyncio.sleep(0.05)
+        self.assertGreater(self.intake.answers.total_bytes, 2 * 1024 * 1024)
+        connection.close()
+        await asyncio.sleep(0.05)
+        self.assertEqual(0, self.intake.answers.total_bytes)
+
     async def test_oldest_body_is_refused_when_memory_is_short(self):
         old, new, third = [await self.connect() for _ in range(3)]
         for connection in (old, new, third):
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/conf.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/conf.py
@@ -51,8 +51,8 @@
 ANSWER_LIMIT_BYTES = 16 * 1024 * 1024
 
 # Limit on what all buffered answers hold together, with the incomplete events
-# of streams. The smallest entry VMs have 200 MB, of which an idle entry uses
-# 50, and an answer is copied when it is sent.
+# of streams, unless half of the input budget is less. An entry VM with 200 MB
+# uses 50 of them while idle, and an answer is copied when it is sent.
 BUFFERS_LIMIT_BYTES = 32 * 1024 * 1024
 
 # Share of the objective that a stream may wait for a target. The rest is
