--- a/packages/savoryyoke-edge/savoryyoke_edge/bounded_input.py
+++ b/packages/savoryyoke-edge/savoryyoke_edge/bounded_input.py
@@ -24,11 +24,16 @@
 # its turn, so reads are small where bytes are costly to parse.
 _READ_BYTES = 16 * 1024
 _BODY_READ_BYTES = 64 * 1024
+# Bytes of a head that are parsed before its lines are counted.
+_HEAD_PIECE_BYTES = 4096
 # All connections read into the same memory, since its content is used before
 # the next read.
 _READ_MEMORY = memoryview(bytearray(_BODY_READ_BYTES))
 _READ_VIEW = _READ_MEMORY[:_READ_BYTES]
 
+# An unread answer counts against the budget from this size on.
+_UNSENT_BYTES = 16 * 1024
+
 # A refused caller that still sends would lose the answer if its connection
 # were closed at once. Its bytes are dropped for this time and size.
 _LINGER_S = 1.0
@@ -160,6 +165,7 @@
         """Account for a new connection, in place of another if necessary."""
         super().connection_made(transport)
         self.flow = _HoldableFlow(transport)
+        transport.set_write_buffer_limits(high=_UNSENT_BYTES)
         self._account = intake_budget.Account(owner=self)
         self._is_counted = True
         self.intake.connections.open(self)
@@ -188,7 +194,6 @@
         if self._is_ending:
             self._discard(nbytes)
             return
-        self._unset_keepalive_if_required()
         data = bytes(_READ_MEMORY[:nbytes])
         if self._held:
             self._hold(self._held + data)
@@ -254,6 +259,7 @@
         if self.cycle.response_complete:
             # The application has answered without reading the body.
             self._wait_for_request()
+            self._unset_keepalive_if_required()
             self.timeout_keep_alive_task = self.loop.call_later(
                 self.timeout_keep_alive, self.timeout_keep_alive_handler
             )
@@ -296,8 +302,12 @@
         has_answer = has_cycle and cycle.response_started
         if has_cycle:
             cycle.disconnected = True
+            cycle.waiting_for_100_continue = False
             cycle.body = bytearray()
             cycle.message_event.set()
+        # What the parser has kept is not needed while the connection lingers.
+        self.parser = None
+        self.headers = self.scope = None
         if not has_answer:
             self.transport.write(_build_refusal(status))
         if has_answer or not lingers or self.transport.is_closing():
@@ -365,6 +375,8 @@
                 if position == len(data) or self._is_ending:
                     return position
                 self._has_begun = True
+                # Empty lines alone don't keep an idle connection open.
+                self._unset_keepalive_if_required()
             return self._parse_head(data, position)
         if self._remaining_bytes is None:
             return self._parse_chunks(data, position)
@@ -386,10 +398,9 @@
 
     def _parse_head(self, data, position):
         limit_bytes = self.intake.header_bytes + intake_conf.HEAD_SLACK_BYTES
-        end = min(
-            self._find_end(data, position),
-            position + limit_bytes - self._head_bytes,
-        )
+        piece_bytes = min(limit_bytes - self._head_bytes, _HEAD_PIECE_BYTES)
+        stop = min(position + piece_bytes, len(data))
+        end = self._find_end(data, position, stop)
         self._head_bytes += end - position
         self._feed(data, position, end)
         if self._is_ending or self._stage is not _Stage.HEAD:
@@ -401,7 +412,7 @@
         return end
 
     def _parse_chunks(self, data, position):
-        end = self._find_end(data, position)
+        end = self._find_end(data, position, len(data))
         body_bytes = self._body_bytes
         self._feed(data, position, end)
         if self._is_ending or self._stage is not _Stage.BODY:
@@ -415,24 +426,25 @@
             self.refuse(431, 'framing')
         return end
 
-    def _find_end(self, data, position):
-        """Return where the next empty line ends, or the end of ``data``.
+    def _find_end(self, data, position, stop):
+        """Return where the next empty line ends, or ``stop``.
 
-        A head ends there, and so does a chunked body.
+        A head ends there, and so does a chunked body. The line may have begun
+        in bytes that were parsed before.
         """
         if self._tail:
             tail_bytes = len(self._tail)
-            joined = self._tail + data[position : position + 3]
+            joined = self._tail + data[position : min(position + 3, stop)]
             index = joined.find(_EMPTY_LINE)
             if index >= 0:
                 self._tail = b''
                 return position + index + 4 - tail_bytes
-        index = data.find(_EMPTY_LINE, position)
+        index = data.find(_EMPTY_LINE, position, stop)
         if index >= 0:
             self._tail = b''
             return index + 4
-        self._tail = (self._tail + data[position:][-3:])[-3:]
-        return len(data)
+        self._tail = (self._tail + data[max(position, stop - 3) : stop])[-3:]
+        return stop
 
     def _feed(self, data, position, end):
         """Pass a piece of ``data`` to the parser."""
@@ -478,7 +490,6 @@
         if self._is_ending or self.transport.is_closing():
             return
         data, self._held = self._held, b''
-        self._unset_keepalive_if_required()
         self._take(data)
 
     def _watch_body(self, seen_bytes):
