Decide which entries collect heartbeats and send them on

No entry uses this yet. The collectors follow from the sorted live hosts and a number of the turn, which changes each 0.3 s. The second collector sends on only what the first one has not sent within 0.15 s.

--- a/packages/savoryyoke/savoryyoke/peers/conf.py
+++ b/packages/savoryyoke/savoryyoke/peers/conf.py
@@ -40,3 +40,32 @@
 
 # Limits the number of contacts in one heartbeat.
 HEARTBEAT_CONTACTS_LIMIT = 16
+
+# A collector sends on what has arrived within this time. Fewer datagrams with
+# a longer time; heartbeats are sent more often to make up for it, see
+# ``pacing.choose_batch_interval_s``.
+BATCH_WINDOW_PER_PEER_S = 0.00075
+MIN_BATCH_WINDOW_S = 0.025
+MAX_BATCH_WINDOW_S = 0.05
+# Heartbeats in batches are sent more often by this many windows. Half a window
+# of waiting on average is made up for by a whole one; the rest allows for the
+# first heartbeats of a batch, which wait for longer, and for busy collectors.
+BATCH_INTERVAL_WINDOWS = 1.5
+
+# The second collector sends on what the first one has not sent in this time:
+# three windows, so that a busy first collector causes no duplicates.
+SECOND_COLLECTOR_WAIT_S = 0.15
+
+# An entry collects for this time. Shorter than the interval of heartbeats in a
+# large fleet, so that two heartbeats of an entry have different collectors.
+COLLECTOR_TURN_S = 0.3
+# Numbers of turns take 32 bits in a batch.
+TURNS = 2**32
+
+# In a data centre with fewer peers that support batches, a heartbeat goes to
+# all of them directly.
+MIN_BATCH_PEERS = 3
+
+# Heartbeats that wait for the next batch: those of 0.15 s in a fleet of 400
+# entries. Each has up to 8 KB, and usually 0.1 to 2 KB.
+COLLECTED_LIMIT = 256
--- a/packages/savoryyoke/savoryyoke/peers/messages.py
+++ b/packages/savoryyoke/savoryyoke/peers/messages.py
@@ -40,7 +40,8 @@
     ``evidence_digest`` is a digest of its crash reports, and ``crashes`` are
     the reports that another entry seems to lack. ``can_relay`` is false for an
     entry that does not pass on heartbeats, and ``wants_relay`` asks a
-    recipient in another data centre to pass this one on.
+    recipient in another data centre to pass this one on. ``can_batch`` is
+    false for an entry that does not support batches of heartbeats.
     """
 
     sender_id: str
@@ -62,6 +63,7 @@
     configuration_version: int = 0
     can_relay: bool = False
     wants_relay: bool = False
+    can_batch: bool = False
 
     def with_sequence(self, sequence):
         """Return an equal heartbeat with another sequence number.
--- a/packages/savoryyoke/savoryyoke/peers/pacing.py
+++ b/packages/savoryyoke/savoryyoke/peers/pacing.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from savoryyoke.peers import batches
 from savoryyoke.peers import conf
 
 
@@ -83,3 +84,16 @@
         ),
         peer_count * conf.HEARTBEAT_MIN_PER_PEER_S,
     )
+
+
+def choose_batch_interval_s(*, peer_count):
+    """Return the seconds between two heartbeats that are sent in batches.
+
+    It is shorter than ``choose_interval_s``, so that reports are no older on
+    average although they wait at a collector.
+    """
+    window_s = batches.choose_window_s(peer_count=peer_count)
+    return (
+        choose_interval_s(peer_count=peer_count)
+        - conf.BATCH_INTERVAL_WINDOWS * window_s
+    )
