Encode batches of heartbeats

The new field canBatch of a heartbeat is false in messages of older builds. Damaged and oversized batches are refused.

--- a/packages/savoryyoke-wire/savoryyoke_wire/conf.py
+++ b/packages/savoryyoke-wire/savoryyoke_wire/conf.py
@@ -40,6 +40,12 @@
 
 # Version of the heartbeats and snapshots that entries exchange.
 FLEET_VERSION = 1
+# First bytes of a batch of heartbeats. At the start of a packed heartbeat,
+# they would mean more than 256 segments, which no heartbeat has.
+BATCH_PREFACE = b'SYB\x01'
+# Heartbeats in one batch. The smallest take about 90 bytes.
+BATCH_ITEMS_LIMIT = 128
+
 # Limits the heartbeats that are kept to recognize repetitions. Each peer sends
 # one without contacts and some with contacts; each takes about 1.5 KB.
 REPEATED_HEARTBEATS_LIMIT = 256
--- a/packages/savoryyoke-wire/savoryyoke_wire/fleet.capnp
+++ b/packages/savoryyoke-wire/savoryyoke_wire/fleet.capnp
@@ -61,6 +61,8 @@
   canRelay @18 :Bool;
   wantsRelay @19 :Bool;
   rateReports @20 :List(RateReport);
+  # Absent in messages of older builds, which read as false.
+  canBatch @21 :Bool;
 }
 
 struct Item {
--- a/packages/savoryyoke-wire/savoryyoke_wire/fleet.py
+++ b/packages/savoryyoke-wire/savoryyoke_wire/fleet.py
@@ -1,6 +1,8 @@
 """Encode and decode the heartbeats and snapshots that entries exchange."""
 
+import dataclasses
 import pathlib
+import struct
 
 import capnp
 
@@ -16,6 +18,11 @@
     str(pathlib.Path(__file__).with_name('fleet.capnp')), imports=[]
 )
 
+# Preface, number of the turn and whether to collect; then for each heartbeat
+# its length and its bytes.
+_BATCH_HEADER = struct.Struct('>4sI?')
+_BATCH_LENGTH = struct.Struct('>H')
+
 
 def encode_heartbeat(heartbeat):
     """Return the packed datagram of a heartbeat.
@@ -37,6 +44,7 @@
         configurationVersion=heartbeat.configuration_version,
         canRelay=heartbeat.can_relay,
         wantsRelay=heartbeat.wants_relay,
+        canBatch=heartbeat.can_batch,
         contactHosts=list(heartbeat.contact_hosts),
         evidenceDigest=heartbeat.evidence_digest,
     )
@@ -96,6 +104,7 @@
             configuration_version=message.configurationVersion,
             can_relay=message.canRelay,
             wants_relay=message.wantsRelay,
+            can_batch=message.canBatch,
             in_flight=tuple(
                 messages.InFlight(
                     target_id=count.targetId, requests=count.requests
@@ -202,6 +211,91 @@
 }
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Batch:
+    """Hold encoded heartbeats that are sent in one datagram.
+
+    ``turn`` is the number of the turn in which its sender chose collectors.
+    With ``wants_collecting``, the recipient sends the heartbeats on to the
+    entries of its data centre.
+    """
+
+    turn: int
+    wants_collecting: bool
+    heartbeats: tuple[bytes, ...]
+
+
+def encode_batches(heartbeats, *, turn, wants_collecting):
+    """Return datagrams that contain the encoded ``heartbeats`` in order.
+
+    Heartbeats that are too long for a batch are left out, see ``fits_batch``.
+    """
+    header = _BATCH_HEADER.pack(conf.BATCH_PREFACE, turn, wants_collecting)
+    datagrams = []
+    parts = [header]
+    size = len(header)
+    for packed in filter(fits_batch, heartbeats):
+        item_size = _BATCH_LENGTH.size + len(packed)
+        if (
+            size + item_size > conf.DATAGRAM_LIMIT_BYTES
+            or len(parts) // 2 >= conf.BATCH_ITEMS_LIMIT
+        ):
+            datagrams.append(b''.join(parts))
+            parts = [header]
+            size = len(header)
+        parts += (_BATCH_LENGTH.pack(len(packed)), packed)
+        size += item_size
+    if len(parts) > 1:
+        datagrams.append(b''.join(parts))
+    return datagrams
+
+
+def fits_batch(packed):
+    """Return whether an encoded heartbeat fits into a batch."""
+    return (
+        _BATCH_HEADER.size + _BATCH_LENGTH.size + len(packed)
+        <= conf.DATAGRAM_LIMIT_BYTES
+    )
+
+
+def is_batch(datagram):
+    """Return whether a datagram is a batch, not a single heartbeat."""
+    return datagram.startswith(conf.BATCH_PREFACE)
+
+
+def decode_batch(datagram):
+    """Return the ``Batch`` in a datagram; its heartbeats are not decoded.
+
+    Raise ``MalformedMessage`` or ``LimitExceeded``.
+    """
+    if len(datagram) > conf.DATAGRAM_LIMIT_BYTES:
+        raise exceptions.LimitExceeded(
+            f'datagram of {len(datagram)} bytes is too long'
+        )
+    try:
+        _, turn, wants_collecting = _BATCH_HEADER.unpack_from(datagram)
+        heartbeats = []
+        position = _BATCH_HEADER.size
+        while position < len(datagram):
+            (length,) = _BATCH_LENGTH.unpack_from(datagram, position)
+            position += _BATCH_LENGTH.size
+            heartbeats.append(datagram[position : position + length])
+            position += length
+    except struct.error as error:
+        raise exceptions.MalformedMessage(str(error)) from error
+    if position > len(datagram):
+        raise exceptions.MalformedMessage('batch is truncated')
+    if not 0 < len(heartbeats) <= conf.BATCH_ITEMS_LIMIT:
+        raise exceptions.LimitExceeded(
+            f'batch of {len(heartbeats)} heartbeats'
+        )
+    return Batch(
+        turn=turn,
+        wants_collecting=wants_collecting,
+        heartbeats=tuple(heartbeats),
+    )
+
+
 def encode_snapshot(snapshot):
     """Return the packed bytes of a snapshot of the published values."""
     message = _SCHEMA.Snapshot.new_message(
--- a/packages/savoryyoke-wire/tests/test_fleet.py
+++ b/packages/savoryyoke-wire/tests/test_fleet.py
@@ -28,6 +28,7 @@
     configuration_version=14,
     can_relay=True,
     wants_relay=True,
+    can_batch=True,
     in_flight=(messages.InFlight(target_id='t1', requests=3),),
     contact_hosts=('10.0.0.2', '10.0.0.3'),
     leaving_targets=(
@@ -172,6 +173,74 @@
             )
 
 
+class BatchTests(unittest.TestCase):
+    def encode(self, heartbeats, *, turn=2**32 - 1, wants_collecting=True):
+        return fleet.encode_batches(
+            heartbeats, turn=turn, wants_collecting=wants_collecting
+        )
+
+    def test_round_trip(self):
+        packed = fleet.encode_heartbeat(HEARTBEAT)
+        (datagram,) = self.encode([packed, b'x'])
+        self.assertTrue(fleet.is_batch(datagram))
+        self.assertEqual(
+            fleet.Batch(
+                turn=2**32 - 1,
+                wants_collecting=True,
+                heartbeats=(packed, b'x'),
+            ),
+            fleet.decode_batch(datagram),
+        )
+
+    def test_heartbeat_is_no_batch(self):
+        """Guard against old builds whose heartbeats are read as batches."""
+        for incarnation in (0, 1, 2**64 - 1):
+            heartbeat = dataclasses.replace(HEARTBEAT, incarnation=incarnation)
+            packed = fleet.encode_heartbeat(heartbeat)
+            self.assertFalse(fleet.is_batch(packed))
+
+    def test_old_build_refuses_a_batch(self):
+        (datagram,) = self.encode([fleet.encode_heartbeat(HEARTBEAT)])
+        with self.assertRaises(exceptions.WireError):
+            fleet.decode_heartbeat(datagram)
+
+    def test_heartbeats_are_spread_over_datagrams(self):
+        heartbeats = [bytes([number]) * 3000 for number in range(9)]
+        heartbeats += [b'x'] * (2 * conf.BATCH_ITEMS_LIMIT)
+        datagrams = self.encode(heartbeats)
+        read = []
+        for datagram in datagrams:
+            self.assertLessEqual(len(datagram), conf.DATAGRAM_LIMIT_BYTES)
+            read += fleet.decode_batch(datagram).heartbeats
+        self.assertEqual(heartbeats, read)
+
+    def test_heartbeat_of_the_largest_size(self):
+        largest = next(
+            size
+            for size in range(conf.DATAGRAM_LIMIT_BYTES, 0, -1)
+            if fleet.fits_batch(b'x' * size)
+        )
+        (datagram,) = self.encode([b'x' * largest, b'x' * (largest + 1)])
+        self.assertEqual(conf.DATAGRAM_LIMIT_BYTES, len(datagram))
+        self.assertEqual([], self.encode([]))
+
+    def test_damaged_batches_are_refused(self):
+        (datagram,) = self.encode([b'abc', b'def'])
+        whole_lengths = {len(datagram), len(datagram) - 5}
+        for length in range(len(datagram)):
+            if length not in whole_lengths:
+                with self.assertRaises(exceptions.WireError):
+                    fleet.decode_batch(datagram[:length])
+        (header_and_one,) = self.encode([b''])
+        for invalid in (
+            datagram + b'x',
+            header_and_one + b'\0\0' * conf.BATCH_ITEMS_LIMIT,
+            datagram.ljust(conf.DATAGRAM_LIMIT_BYTES + 1, b'\0'),
+        ):
+            with self.assertRaises(exceptions.WireError):
+                fleet.decode_batch(invalid)
+
+
 class SnapshotTests(unittest.TestCase):
     def test_round_trip(self):
         packed = fleet.encode_snapshot(SNAPSHOT)
