Send heartbeats in batches in large fleets

Cause: with 64 entries in three data centres, an entry sent and received 166 datagrams per second each, one for each heartbeat. Most of its processor time went to system calls and wake-ups.

Fleets of up to 16 entries send as before. In larger ones, collectors send heartbeats on in batches. A damaged heartbeat in a batch costs one log line and none of the others. Entries that stop or are cut off, and old builds, are covered by the tests of savoryyoke.peers; test_peering runs 18 entries with real sockets.

--- a/packages/savoryyoke-gateway/savoryyoke_gateway/datagrams.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/datagrams.py
@@ -57,6 +57,21 @@
         if self._unsent or not self._try_to_send(datagram, address):
             self._keep(datagram, address)
 
+    def call_later(self, delay_s, callback):
+        """Call ``callback()`` after a delay, unless the socket is closed.
+
+        Its errors end the exchange like those of ``receive``.
+        """
+
+        def call():
+            try:
+                if not self._failure.done():
+                    callback()
+            except Exception as error:
+                self._fail(error)
+
+        return self._loop.call_later(delay_s, call)
+
     def _try_to_send(self, datagram, address):
         """Send a datagram; return false if the socket's buffer is full."""
         try:
@@ -95,6 +110,9 @@
         except BlockingIOError:
             return
         except Exception as error:
-            self._loop.remove_reader(self._socket)
-            if not self._failure.done():
-                self._failure.set_exception(error)
+            self._fail(error)
+
+    def _fail(self, error):
+        self._loop.remove_reader(self._socket)
+        if not self._failure.done():
+            self._failure.set_exception(error)
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/peering.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/peering.py
@@ -7,6 +7,7 @@
 
 import anyio
 
+from savoryyoke.peers import batches
 from savoryyoke.peers import conf as peers_conf
 from savoryyoke.peers import messages
 from savoryyoke.peers import pacing
@@ -78,6 +79,15 @@
             own_host=settings.peer_host,
             seed_hosts=settings.seed_hosts,
         )
+        self._batching = batches.Batching(
+            own_host=settings.peer_host,
+            own_data_centre=settings.data_centre,
+            table=self.table,
+        )
+        self._uses_batches = False
+        self._batch_timer = None
+        self._batch_due_s = None
+        self._uncollected_count = 0
         self.copies = copying.ViewCopies(
             settings=settings,
             published_state=published_state,
@@ -114,6 +124,7 @@
                 report_unsent=self._report_unsent,
             )
         ) as self._socket:
+            self._batch_timer = None
             async with anyio.create_task_group() as group:
                 group.start_soon(self._socket.wait_for_failure)
                 while True:
@@ -141,9 +152,10 @@
         return self.table.max_entry_count
 
     def _interval_s(self):
-        return pacing.choose_interval_s(
-            peer_count=self.table.max_entry_count - 1
-        )
+        peer_count = self.table.max_entry_count - 1
+        if self._uses_batches:
+            return pacing.choose_batch_interval_s(peer_count=peer_count)
+        return pacing.choose_interval_s(peer_count=peer_count)
 
     def _send_heartbeats(self, *, without_relays=False):
         uses_relays = not without_relays and relays.uses_relays(
@@ -158,15 +170,73 @@
         datagram = self._encode(heartbeat)
         if datagram is None:
             return
-        hosts = self.table.contact_hosts(now_s=self._clock())
-        if uses_relays:
+        now_s = self._clock()
+        hosts = self.table.contact_hosts(now_s=now_s)
+        if not uses_relays:
+            self._send_to_all(datagram, hosts)
+        elif not fleet.fits_batch(datagram):
             hosts = relays.choose_recipients(
                 hosts,
-                live_heartbeats=self.table.alive(now_s=self._clock()),
+                live_heartbeats=self.table.alive(now_s=now_s),
                 own_data_centre=self._settings.data_centre,
                 sequence=heartbeat.sequence,
             )
-        self._send_to_all(datagram, hosts)
+            self._send_to_all(datagram, hosts)
+        else:
+            self._send_to_collectors(heartbeat, datagram, hosts, now_s)
+
+    def _send_to_collectors(self, heartbeat, datagram, hosts, now_s):
+        recipients = self._batching.choose_recipients(
+            hosts, sequence=heartbeat.sequence, now_s=now_s
+        )
+        self._uses_batches = bool(recipients.collector_hosts)
+        self._send_to_all(datagram, recipients.direct_hosts)
+        turn = self._batching.turn(now_s=now_s)
+        for batch in fleet.encode_batches(
+            [datagram], turn=turn, wants_collecting=True
+        ):
+            self._send_to_all(batch, recipients.collector_hosts)
+        if recipients.is_collector:
+            self._collect(heartbeat, datagram, turn=turn, now_s=now_s)
+
+    def _collect(self, heartbeat, datagram, *, turn, now_s):
+        if self._batching.collect(heartbeat, datagram, turn=turn, now_s=now_s):
+            self._schedule_batch(now_s)
+        else:
+            self._uncollected_count += 1
+
+    def _schedule_batch(self, now_s):
+        """Set the timer to when the next batch is due."""
+        due_s = self._batching.due_s
+        if due_s is None or (
+            self._batch_timer is not None and self._batch_due_s <= due_s
+        ):
+            return
+        if self._batch_timer is not None:
+            self._batch_timer.cancel()
+        self._batch_due_s = due_s
+        self._batch_timer = self._socket.call_later(
+            due_s - now_s, self._send_batches
+        )
+
+    def _send_batches(self):
+        self._batch_timer = None
+        now_s = self._clock()
+        heartbeats, hosts = self._batching.take_due(now_s=now_s)
+        for batch in fleet.encode_batches(
+            heartbeats,
+            turn=self._batching.turn(now_s=now_s),
+            wants_collecting=False,
+        ):
+            self._send_to_all(batch, hosts)
+        if self._uncollected_count:
+            logs.write_event(
+                'heartbeats_not_collected',
+                level='warning',
+                count=self._uncollected_count,
+            )
+            self._uncollected_count = 0
+        self._schedule_batch(now_s)
 
     def _send_to_all(self, datagram, hosts):
         for host in hosts:
@@ -241,11 +311,15 @@
             ),
             can_relay=True,
             wants_relay=wants_relay,
+            can_batch=True,
         )
 
     def _receive_datagram(self, datagram, host):
         try:
-            heartbeat = self._reader.read(datagram)
+            if fleet.is_batch(datagram):
+                self._receive_batch(fleet.decode_batch(datagram), host)
+            else:
+                self._receive_single(datagram, host)
         except wire_exceptions.WireError as error:
             logs.write_event(
                 'heartbeat_refused',
@@ -253,24 +327,66 @@
                 host=host,
                 reason=str(error),
             )
-            return
+
+    def _receive_single(self, datagram, host):
+        """Store a heartbeat and pass it on if it asks for it."""
+        heartbeat = self._reader.read(datagram)
         now_s = self._clock()
         if not self.table.receive(heartbeat, now_s=now_s):
             return
         self._process_heartbeat(heartbeat, now_s)
-        own_data_centre = self._settings.data_centre
         if relays.needs_forward(
-            heartbeat, source_host=host, own_data_centre=own_data_centre
+            heartbeat,
+            source_host=host,
+            own_data_centre=self._settings.data_centre,
         ):
-            self._send_to_all(
-                datagram,
-                relays.choose_forward_hosts(
-                    heartbeat,
-                    source_host=host,
-                    live_heartbeats=self.table.alive(now_s=now_s),
-                    own_data_centre=own_data_centre,
-                ),
+            turn = self._batching.turn(now_s=now_s)
+            self._pass_on(heartbeat, datagram, turn=turn, now_s=now_s)
+
+    def _pass_on(self, heartbeat, datagram, *, turn, now_s):
+        """Send a heartbeat on in the own data centre, in batches if possible.
+
+        Entries that don't support batches get those of their own data centre
+        from the sender.
+        """
+        if fleet.fits_batch(datagram):
+            self._collect(heartbeat, datagram, turn=turn, now_s=now_s)
+            hosts = self._batching.single_hosts(now_s=now_s)
+        else:
+            hosts = relays.choose_forward_hosts(
+                heartbeat,
+                source_host=heartbeat.sender_host,
+                live_heartbeats=self.table.alive(now_s=now_s),
+                own_data_centre=self._settings.data_centre,
             )
+        if heartbeat.data_centre != self._settings.data_centre:
+            self._send_to_all(datagram, hosts)
+
+    def _receive_batch(self, batch, host):
+        """Store the heartbeats of a batch and collect them if it asks for it.
+
+        Raise the first error only after all others were read.
+        """
+        now_s = self._clock()
+        self._batching.observe_turn(batch.turn, now_s=now_s)
+        errors = []
+        for datagram in batch.heartbeats:
+            try:
+                heartbeat = self._reader.read(datagram)
+            except wire_exceptions.WireError as error:
+                errors.append(error)
+                continue
+            if not batch.wants_collecting:
+                self._batching.discard(heartbeat)
+            if not self.table.receive(heartbeat, now_s=now_s):
+                continue
+            self._process_heartbeat(heartbeat, now_s)
+            if batch.wants_collecting:
+                self._pass_on(
+                    heartbeat, datagram, turn=batch.turn, now_s=now_s
+                )
+        if errors:
+            raise errors[0]
 
     def _process_heartbeat(self, heartbeat, now_s):
         self._dispatching.set_peer_requests(
--- a/tools/measure/heartbeats.py
+++ b/tools/measure/heartbeats.py
@@ -7,6 +7,7 @@
 """
 
 import argparse
+import asyncio
 import cProfile
 import json
 import os
@@ -98,24 +99,25 @@
 
 async def _measure(number, options, started_s, profile):
     slowdown = options.slowdown
-    sleep = anyio.sleep
-
-    async def sleep_slowly(delay_s):
-        await sleep(delay_s * slowdown)
-
-    anyio.sleep = sleep_slowly
+    # All delays of the event loop are in seconds of the slower clock.
+    loop = asyncio.get_running_loop()
+    call_later = loop.call_later
+    loop.call_later = lambda delay_s, *args, **options: call_later(
+        delay_s * slowdown, *args, **options
+    )
     entry = _build_entry(number, options, started_s)
     samples = []
     sent_s_by_sequence = _record_sending(entry)
     async with anyio.create_task_group() as group:
         group.start_soon(entry.run)
-        await sleep(started_s + options.warmup_s * slowdown - time.monotonic())
+        elapsed_s = (time.monotonic() - started_s) / slowdown
+        await anyio.sleep(options.warmup_s - elapsed_s)
         counts = _count_datagrams(entry)
         usage = _read_usage()
         if profile is not None:
             profile.enable()
         for _ in range(20):
-            await sleep(options.seconds * slowdown / 20)
+            await anyio.sleep(options.seconds / 20)
             now_s = entry.table_clock()
             samples.extend(
                 (heartbeat.sender_id, heartbeat.sequence, now_s)
