--- a/packages/savoryyoke/savoryyoke/scarcity/conf.py
+++ b/packages/savoryyoke/savoryyoke/scarcity/conf.py
@@ -12,8 +12,8 @@
 PAUSE_MAX_RATIO = 3.0
 
 # A stream is late if one of its pauses is too long. Single passes take up to
-# two thirds longer than the mean one: their ranks read long prompts, and demand
-# shifts while the limit follows.
+# two thirds longer than the mean one: their ranks read long prompts, and
+# demand shifts while the limit follows.
 MEAN_PAUSE_SHARE = 0.6
 
 # Interval at which the limit of a group follows its pauses, and the part of
