Test scarcity in groups, single decisions and shifts of demand

The tests of the dispatcher had one engine for each group, so that a limit for each engine, or one that ignores the requests of peers, went unnoticed.

--- a/packages/savoryyoke-gateway/tests/test_dispatching.py
+++ b/packages/savoryyoke-gateway/tests/test_dispatching.py
@@ -12,6 +12,7 @@
 from savoryyoke.placement import decisions
 from savoryyoke.placement import events
 from savoryyoke.placement import models
+from savoryyoke.scarcity import models as scarcity_models
 
 from savoryyoke_gateway import dispatching
 from savoryyoke_gateway import metrics
@@ -216,3 +217,83 @@
         self.assertEqual(
             ['pause_refused', 'rate_limit_refused'], self.answer()
         )
+
+
+class ScarcityTermsTests(unittest.TestCase):
+    """Guard against terms that reach the wrong service or outlive it."""
+
+    TERMS = scarcity_models.Terms(priorities=(0, 2, 5), pause_limit_s=0.15)
+
+    def setUp(self):
+        self.now_s = 1.0
+        self.dispatching = dispatching.Dispatching(
+            own_data_centre='dc-a',
+            random_fraction=random.Random(1).random,
+            clock=lambda: self.now_s,
+            metrics=metrics.GatewayMetrics(
+                registry=prometheus_client.CollectorRegistry()
+            ),
+        )
+
+    def update(self, terms_by_service):
+        """Publish the services ``s`` and ``other`` with these terms."""
+        engines = catalogue_models.Service(name='s', slots=10, cold_limit=None)
+        other_target = dataclasses.replace(
+            TARGET, target_id='o', service_name='other'
+        )
+        self.dispatching.update_targets(
+            services_by_name={
+                's': engines,
+                'other': dataclasses.replace(engines, name='other'),
+            },
+            targets=[dataclasses.replace(TARGET, slots=10), other_target],
+            entry_count=1,
+            terms_by_service=terms_by_service,
+        )
+
+    def find_urgency(self, service_name, *, priority, team=None):
+        call = mock.Mock(service_name=service_name, team=team)
+        call.route.priority = priority
+        return self.dispatching.find_urgency(call)
+
+    def test_only_services_with_terms_tell_targets_the_urgency(self):
+        self.update({'s': self.TERMS})
+        self.assertEqual(2, self.find_urgency('s', priority=5))
+        self.assertIsNone(self.find_urgency('other', priority=5))
+
+    def test_urgency_ends_with_the_terms(self):
+        self.update({'s': self.TERMS})
+        self.update({})
+        self.assertIsNone(self.find_urgency('s', priority=5))
+
+    def test_same_terms_keep_what_was_measured(self):
+        """Each change of a target publishes the terms again."""
+        for publish_again in (False, True):
+            with self.subTest(publish_again=publish_again):
+                self.setUp()
+                self.update({'s': self.TERMS})
+                self.dispatching.record_pause('s', TARGET, 0.4)
+                if publish_again:
+                    self.update({'s': self.TERMS})
+                anyio.run(self.place)
+                self.assertLess(self.dispatching.group_limits(), 1.0)
+
+    def test_pauses_without_terms_limit_nothing(self):
+        self.update({})
+        self.dispatching.record_pause('s', TARGET, 0.4)
+        anyio.run(self.place)
+        self.assertEqual(1.0, self.dispatching.group_limits())
+
+    async def place(self):
+        """Place a request at the service ``s``."""
+        placement = await self.dispatching.place(
+            's',
+            events.RequestArrived(
+                request_id='r',
+                is_on_time=True,
+                priority=0,
+                wait_until_s=2.0,
+                time_left_s=5.0,
+            ),
+        )
+        self.assertIsInstance(placement, decisions.Place)
--- a/packages/savoryyoke/savoryyoke/groups/balancing/conf.py
+++ b/packages/savoryyoke/savoryyoke/groups/balancing/conf.py
@@ -31,8 +31,8 @@
 REFERENCE_WINDOW_S = 1.0
 # A shift is a distance of this many times the largest one of the calmest half
 # second, of five observations, among the latest ones. These cover more than
-# the time between two shifts. Demand isn't observed while a map is changed, so
-# often there is no longer time without traces of a shift.
+# the time between two shifts. Demand isn't compared while a group switches
+# maps, so often there is no longer time without traces of a shift.
 SHIFT_DISTANCE_RATIO = 2.0
 CALM_DISTANCES = 5
 USUAL_DISTANCES = 60
--- a/packages/savoryyoke/savoryyoke/scarcity/conf.py
+++ b/packages/savoryyoke/savoryyoke/scarcity/conf.py
@@ -7,13 +7,13 @@
 # An estimate without a new pause for this time is not used.
 PACE_LIFETIME_S = 1.0
 
-# A longer pause counts as this multiple of the accepted one, so that a stream
-# whose VM was frozen doesn't outweigh all others.
+# A longer pause counts as this multiple of the limit of the routes, so that
+# a stream whose VM was frozen doesn't outweigh all others.
 PAUSE_MAX_RATIO = 3.0
 
 # A stream is late if one of its pauses is too long. Single passes take up to
-# two thirds longer than the mean one: their ranks read long prompts, and demand
-# shifts while the limit follows.
+# two thirds longer than the mean one: their ranks read long prompts, and
+# demand shifts while the limit follows.
 MEAN_PAUSE_SHARE = 0.6
 
 # Interval at which the limit of a group follows its pauses, and the part of
--- a/packages/savoryyoke/savoryyoke/scarcity/work.py
+++ b/packages/savoryyoke/savoryyoke/scarcity/work.py
@@ -2,6 +2,7 @@
 
 from savoryyoke.scarcity import conf
 
+# Weight of a request in the mean sizes, which cover about the last 20 of them.
 _WEIGHT = 0.05
 
 
--- a/packages/savoryyoke/tests/groups/rollout/test_rollout.py
+++ b/packages/savoryyoke/tests/groups/rollout/test_rollout.py
@@ -4,6 +4,7 @@
 import unittest.mock
 
 from savoryyoke.groups.rollout import agent
+from savoryyoke.groups.rollout import conf
 from savoryyoke.groups.rollout import decisions
 from savoryyoke.groups.rollout import events
 from savoryyoke.groups.rollout import leader
@@ -120,6 +121,32 @@
         self.assertEqual(simulated.mixed_passes, [])
 
 
+class LostHoldWorld(world.World):
+    """Lose each order to hold the group, and record its pass."""
+
+    def __init__(self, **arguments):
+        super().__init__(**arguments)
+        self.passes_ahead = []
+
+    def _send_order(self, sender_rank, rank, order):
+        if isinstance(order, decisions.Hold):
+            self.passes_ahead.append(order.step - self.engines[rank].step)
+            return events.OrderResult.UNKNOWN
+        return super()._send_order(sender_rank, rank, order)
+
+
+class MissedHoldTests(unittest.TestCase):
+    """Guard against a hold further ahead than agents assume orders to be."""
+
+    def test_number_of_passes_ahead_is_bounded(self):
+        simulated = LostHoldWorld(
+            ranks=4, faults=world.Faults(), seed=3, pass_s=0.14
+        )
+        simulated.run(10.0)
+        self.assertEqual(conf.MAX_PASSES_AHEAD, max(simulated.passes_ahead))
+        self.assertEqual(0, simulated.switches)
+
+
 class ShiftingWorld(world.World):
     """Report a shift of demand during each second change."""
 
--- a/packages/savoryyoke/tests/scarcity/test_scarcity.py
+++ b/packages/savoryyoke/tests/scarcity/test_scarcity.py
@@ -80,6 +80,8 @@
 
 
 class PacesTests(unittest.TestCase):
+    """Guard against limits that follow old or exceptional pauses."""
+
     def test_old_estimate_is_not_used(self):
         measured = paces.Paces()
         measured.record('g', 0.1, longest_s=1.0, now_s=5.0)
@@ -219,6 +221,8 @@
 
 
 class AccountTests(unittest.TestCase):
+    """Guard against levels that don't follow urgency and lateness."""
+
     def build(self):
         return account.ScarcityAccount(
             terms=TERMS, random_fraction=lambda: 0.5
@@ -260,6 +264,8 @@
 
 
 class WorkTests(unittest.TestCase):
+    """Guard against callers that gain by the sizes that they state."""
+
     def test_work_is_relative_to_the_mean(self):
         estimator = work.WorkEstimator()
         for _ in range(20):
