Test what the pieces fed to the parser and the lingering are for

Mutations that turn tests of packages/savoryyoke-edge red: complete requests not protected (2 tests), framing not limited (4 subtests), trailers kept (6), an empty line in two reads not found (1), reading of pipelined requests not held (1), no lingering (1). The last three were found by no test before.

--- a/packages/savoryyoke-edge/tests/test_bounded_input.py
+++ b/packages/savoryyoke-edge/tests/test_bounded_input.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import socket
 import unittest
 from unittest import mock
 
@@ -185,7 +186,16 @@
         # A connection that is closed with unread bytes is reset, and the
         # answer is lost.
         self.intake.body_bytes = 1000
-        await self.check(build_post(10**6) + bytes(10**6), 413, 'body-bytes')
+        loop = asyncio.get_running_loop()
+        with socket.socket() as client:
+            client.setblocking(False)
+            await loop.sock_connect(client, self.address)
+            await loop.sock_sendall(client, build_post(10**6))
+            for _ in range(10):
+                await asyncio.sleep(0.02)
+                await loop.sock_sendall(client, bytes(10**5))
+            answer = await loop.sock_recv(client, 4096)
+        self.assertTrue(answer.startswith(b'HTTP/1.1 413'))
 
     async def test_framing(self):
         filler = b'0' * 2 * conf.FRAMING_BYTES_LIMIT
@@ -237,7 +247,19 @@
         await connection.send(build_post(0, b'/held') + GET * 100_000)
         await asyncio.sleep(0.1)
         self.assertEqual(['/held'], self.application.runs)
-        self.assertLess(self.intake.budget.total_bytes, 64 * 1024)
+        self.assertLess(self.intake.budget.total_bytes, 20 * 1024)
+
+    async def test_requests_after_a_divided_empty_line_are_not_parsed(self):
+        # Each parsed request takes some kilobytes.
+        for head in (build_post(0, b'/held'), CHUNKED + b'0\r\n\r\n'):
+            for divided_at in (1, 2, 3):
+                connection = await self.connect()
+                await connection.send(head[:-divided_at])
+                await connection.send(head[-divided_at:] + GET * 100)
+                for protocol in self.server.server_state.connections:
+                    self.assertFalse(protocol.pipeline)
+                connection.close()
+                await asyncio.sleep(0.05)
 
     async def test_body_that_the_application_does_not_read(self):
         connection = await self.connect()
