--- a/packages/savoryyoke/savoryyoke/intake/conf.py
+++ b/packages/savoryyoke/savoryyoke/intake/conf.py
@@ -4,8 +4,8 @@
 MEMORY_MB = 200.0
 MAX_FDS = 4100
 
-# An idle entry uses 46 MB. The rest is for tasks, published values and
-# fragments of the heap, which 60 busy connections raise by about 10 MB.
+# An idle entry uses 46 MB. The rest, which is not measured by itself, is for
+# tasks, published values and fragments of the heap.
 BASE_BYTES = 64 * 1000 * 1000
 
 # A body is held up to twice: while it is joined and while it is sent.
