Share the datagram socket and keep httpcore out of agents

Two sockets that the event loop reads in a callback had been written, for entries and for agents; savoryyoke_edge.datagrams replaces both, with the checks of both test modules.

--- a/packages/savoryyoke-agent/savoryyoke_agent/conf.py
+++ b/packages/savoryyoke-agent/savoryyoke_agent/conf.py
@@ -74,3 +74,10 @@
 
 # The mean time of a pass is measured over this time.
 PASS_TIME_WINDOW_S = 1.0
+
+# Larger than any datagram of UDP over IPv4, so that none is truncated. What
+# agents send has at most 8 KB.
+DATAGRAM_LIMIT_BYTES = 64 * 1024 - 1
+# Datagrams that are read before other tasks run. A second try would be one
+# more system call for each datagram that arrives alone.
+DATAGRAMS_PER_READ = 1
--- a/packages/savoryyoke-agent/savoryyoke_agent/exchange.py
+++ b/packages/savoryyoke-agent/savoryyoke_agent/exchange.py
@@ -1,12 +1,13 @@
 """Exchange datagrams between the agents of a group."""
 
+import contextlib
 import itertools
 
 import anyio
 
 from savoryyoke_agent import conf
-from savoryyoke_agent import datagrams
 
+from savoryyoke_edge import datagrams
 from savoryyoke_edge import logs
 from savoryyoke_wire import assembly
 from savoryyoke_wire import exceptions as wire_exceptions
@@ -35,10 +36,17 @@
 
     async def run(self):
         """Receive datagrams until cancelled."""
-        async with datagrams.open_socket(
-            host=self._host, port=self._port, receive=self._receive_datagram
+        with contextlib.closing(
+            datagrams.DatagramSocket(
+                host=self._host,
+                port=self._port,
+                limit_bytes=conf.DATAGRAM_LIMIT_BYTES,
+                datagrams_per_read=conf.DATAGRAMS_PER_READ,
+                receive=self._receive_datagram,
+                report_unsent=self._ignore_unsent,
+            )
         ) as self._socket:
-            await self._socket.wait_failed()
+            await self._socket.wait_for_failure()
 
     async def send(self, message, hosts, *, port=None):
         """Send a message to hosts, at the agents' port by default."""
@@ -46,7 +54,9 @@
             return
         encoded = self._encode(message)
         for host, packed in itertools.product(hosts, encoded):
-            await self._socket.sendto(packed, host, port or self._port)
+            await self._socket.send_when_writable(
+                packed, (host, port or self._port)
+            )
 
     async def send_paced(self, message, hosts):
         """Send a large message to hosts, after a burst at a limited rate."""
@@ -55,11 +65,15 @@
         encoded = self._encode(message)
         sent_bytes = 0
         for host, packed in itertools.product(hosts, encoded):
-            await self._socket.sendto(packed, host, self._port)
+            await self._socket.send_when_writable(packed, (host, self._port))
             sent_bytes += len(packed)
             if sent_bytes > self._unpaced_bytes:
                 await anyio.sleep(len(packed) / self._paced_bytes_per_s)
 
+    @staticmethod
+    def _ignore_unsent(host, error):
+        """Drop a datagram that the kernel refuses, like the network."""
+
     def _encode(self, message):
         """Return the datagrams of a message; none if it is too large."""
         try:
--- a/packages/savoryyoke-agent/tests/test_exchange.py
+++ b/packages/savoryyoke-agent/tests/test_exchange.py
@@ -29,7 +29,7 @@
         self._queued_bytes = 0.0
         self._last_sent_s = 0.0
 
-    async def sendto(self, packed, host, port):
+    async def send_when_writable(self, packed, address):
         """Queue a datagram, or drop it if the queue is full."""
         drained_bytes = (self.now_s - self._last_sent_s) * LINK_BYTES_PER_S
         self._queued_bytes = max(self._queued_bytes - drained_bytes, 0.0)
@@ -156,10 +156,10 @@
         """Send a message and receive its datagrams in reverse order."""
         sent = []
 
-        async def sendto(packed, host, port):
+        async def send(packed, address):
             sent.append(packed)
 
-        with mock.patch.object(self.link, 'sendto', sendto):
+        with mock.patch.object(self.link, 'send_when_writable', send):
             await self.exchange.send(message, ['10.0.0.1'])
         for packed in reversed(sent):
             self.exchange._receive_datagram(packed, '10.0.0.9')
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/datagrams.py
+++ b/packages/savoryyoke-edge/savoryyoke_edge/datagrams.py
@@ -1,25 +1,48 @@
-"""Exchange datagrams without a task switch for each of them."""
+"""Exchange datagrams at little processor time.
+
+The UDP socket of ``anyio`` yields to the event loop twice for each datagram,
+reserves 256 KB for it, and passes received datagrams to a waiting task. Here
+the event loop calls the recipient when the socket becomes readable.
+"""
 
 import asyncio
 import collections
 import socket
 
-from savoryyoke_gateway import conf
-from savoryyoke_wire import conf as wire_conf
+import anyio
+
+# Datagrams of ``send`` that wait until the socket's buffer has room. Each has
+# up to 8 KB.
+UNSENT_DATAGRAMS_LIMIT = 128
 
 
 class DatagramSocket:
     """Own a UDP socket that is read in a callback of the event loop.
 
-    ``receive(datagram, host)`` is called for each datagram. A datagram above
-    ``DATAGRAM_LIMIT_BYTES`` is truncated to one more byte. ``report_unsent``
-    is called with a host and the error for each datagram that can't be sent.
+    ``receive(datagram, host)`` is called for each datagram and must not
+    block. A datagram above ``limit_bytes`` is truncated to one more byte. Up
+    to ``datagrams_per_read`` are read before other tasks run.
+    ``report_unsent(host, error)`` is called for each datagram that can't be
+    sent.
     """
 
-    def __init__(self, *, host, port, receive, report_unsent):
+    def __init__(
+        self,
+        *,
+        host,
+        port,
+        limit_bytes,
+        datagrams_per_read,
+        receive,
+        report_unsent,
+    ):
+        self._receive_bytes = limit_bytes + 1
+        self._datagrams_per_read = datagrams_per_read
         self._receive = receive
         self._report_unsent = report_unsent
         self._unsent = collections.deque()
+        self._writable = None
+        self._is_closed = False
         self._loop = asyncio.get_running_loop()
         self._failure = self._loop.create_future()
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -40,8 +63,13 @@
 
     def close(self):
         """Close the socket. Datagrams that wait to be sent are lost."""
+        if self._is_closed:
+            return
+        self._is_closed = True
+        self._unsent.clear()
         self._loop.remove_reader(self._socket)
         self._loop.remove_writer(self._socket)
+        self._release_senders()
         self._socket.close()
         self._failure.cancel()
 
@@ -57,6 +85,18 @@
         if self._unsent or not self._try_to_send(datagram, address):
             self._keep(datagram, address)
 
+    async def send_when_writable(self, datagram, address):
+        """Send a datagram; wait only while the socket takes none.
+
+        Raise ``anyio.ClosedResourceError`` if the socket is closed.
+        """
+        while True:
+            if self._is_closed:
+                raise anyio.ClosedResourceError
+            if not self._unsent and self._try_to_send(datagram, address):
+                return
+            await self._wait_until_writable()
+
     def call_later(self, delay_s, callback):
         """Call ``callback()`` after a delay, unless the socket is closed.
 
@@ -85,34 +125,50 @@
         return True
 
     def _keep(self, datagram, address):
-        if len(self._unsent) >= conf.UNSENT_DATAGRAMS_LIMIT:
+        if len(self._unsent) >= UNSENT_DATAGRAMS_LIMIT:
             self._report_unsent(address[0], 'too many datagrams wait')
             return
         if not self._unsent:
             self._loop.add_writer(self._socket, self._write)
         self._unsent.append((datagram, address))
 
+    async def _wait_until_writable(self):
+        if self._writable is None:
+            self._writable = asyncio.Event()
+            self._loop.add_writer(self._socket, self._write)
+        await self._writable.wait()
+
     def _write(self):
         while self._unsent:
             if not self._try_to_send(*self._unsent[0]):
                 return
             self._unsent.popleft()
         self._loop.remove_writer(self._socket)
+        self._release_senders()
+
+    def _release_senders(self):
+        if self._writable is not None:
+            self._writable.set()
+            self._writable = None
 
     def _read(self):
         try:
-            for _ in range(conf.DATAGRAMS_PER_READ):
-                datagram, (host, _) = self._socket.recvfrom(
-                    wire_conf.DATAGRAM_LIMIT_BYTES + 1
-                )
+            for _ in range(self._datagrams_per_read):
+                try:
+                    datagram, (host, _) = self._socket.recvfrom(
+                        self._receive_bytes
+                    )
+                except BlockingIOError:
+                    return
                 self.received_count += 1
                 self._receive(datagram, host)
-        except BlockingIOError:
-            return
         except Exception as error:
             self._fail(error)
 
     def _fail(self, error):
+        if self._is_closed:
+            # The recipient has closed the socket that is being read.
+            return
         self._loop.remove_reader(self._socket)
         if not self._failure.done():
             self._failure.set_exception(error)
--- a/packages/savoryyoke-edge/savoryyoke_edge/platform.py
+++ b/packages/savoryyoke-edge/savoryyoke_edge/platform.py
@@ -10,8 +10,8 @@
 import httpcore
 
 from savoryyoke_edge import bodies
+from savoryyoke_edge import checked_connections
 from savoryyoke_edge import exceptions
-from savoryyoke_edge import statuses
 
 ANSWER_LIMIT_BYTES = 1024 * 1024 + 64 * 1024
 CALL_TIMEOUT_S = 5.0
@@ -55,7 +55,8 @@
         self._timeout_s = timeout_s
         self._url = url.rstrip('/')
         self._pool = httpcore.AsyncConnectionPool(
-            max_connections=8, network_backend=statuses.CheckingBackend()
+            max_connections=8,
+            network_backend=checked_connections.CheckingBackend(),
         )
 
     async def read_value(self, name, *, after_revision=0, wait_s=0.0):
--- a/packages/savoryyoke-edge/savoryyoke_edge/statuses.py
+++ b/packages/savoryyoke-edge/savoryyoke_edge/statuses.py
@@ -6,7 +6,7 @@
 valid one can follow.
 """
 
-import httpcore
+from savoryyoke_edge import exceptions
 
 _DIGITS = b'0123456789'
 # The bytes that are allowed at each position of a status line, up to the one
@@ -31,12 +31,8 @@
 _LINE_LIMIT_BYTES = 100 * 1024
 
 
-class InvalidStatus(httpcore.RemoteProtocolError):
-    """Report an answer whose status is invalid.
-
-    It is an error of the HTTP library, so that its callers treat it like any
-    other malformed answer.
-    """
+class InvalidStatus(exceptions.RemoteProtocolError):
+    """Report an answer whose status is invalid."""
 
 
 class StatusCheck:
@@ -119,63 +115,3 @@
     if name == b'content-length':
         return value.strip(b'0') != b''
     return name == b'transfer-encoding'
-
-
-class _CheckedStream(httpcore.AsyncNetworkStream):
-    """Check the status of each answer on a connection.
-
-    Requests are not pipelined, so an answer begins after each request.
-    """
-
-    def __init__(self, stream):
-        self._stream = stream
-        self._check = StatusCheck()
-
-    async def read(self, max_bytes, timeout=None):
-        data = await self._stream.read(max_bytes, timeout)
-        if not self._check.is_passed:
-            self._check.feed(data)
-        return data
-
-    async def write(self, buffer, timeout=None):
-        self._check = StatusCheck()
-        await self._stream.write(buffer, timeout)
-
-    async def aclose(self):
-        await self._stream.aclose()
-
-    async def start_tls(self, ssl_context, server_hostname=None, timeout=None):
-        return _CheckedStream(
-            await self._stream.start_tls(ssl_context, server_hostname, timeout)
-        )
-
-    def get_extra_info(self, info):
-        return self._stream.get_extra_info(info)
-
-
-class CheckingBackend(httpcore.AsyncNetworkBackend):
-    """Open connections whose answers are checked.
-
-    Reading an answer with an invalid status raises ``InvalidStatus``. Pass it
-    as the ``network_backend`` of a connection pool. ``backend`` opens the
-    connections.
-    """
-
-    def __init__(self, *, backend=None):
-        self._backend = backend or httpcore.AnyIOBackend()
-
-    async def connect_tcp(self, *args, **options):
-        """Open a TCP connection."""
-        return _CheckedStream(
-            await self._backend.connect_tcp(*args, **options)
-        )
-
-    async def connect_unix_socket(self, *args, **options):
-        """Open a connection to a Unix socket."""
-        return _CheckedStream(
-            await self._backend.connect_unix_socket(*args, **options)
-        )
-
-    async def sleep(self, seconds):
-        """Sleep between attempts to connect."""
-        await self._backend.sleep(seconds)
--- a/packages/savoryyoke-edge/tests/test_statuses.py
+++ b/packages/savoryyoke-edge/tests/test_statuses.py
@@ -12,6 +12,7 @@
 import hypothesis
 from hypothesis import strategies
 
+from savoryyoke_edge import checked_connections
 from savoryyoke_edge import statuses
 
 FIXED = hypothesis.settings(
@@ -94,7 +95,7 @@
         data = b'HTTP/1.1 %s Any\r\ncontent-length: 4\r\n\r\nbody' % status
 
         async def call():
-            backend = statuses.CheckingBackend(
+            backend = checked_connections.CheckingBackend(
                 backend=httpcore.AsyncMockBackend([data])
             )
             async with httpcore.AsyncConnectionPool(
@@ -125,7 +126,7 @@
         valid = b'HTTP/1.1 204 None\r\n\r\n'
 
         async def call():
-            backend = statuses.CheckingBackend(
+            backend = checked_connections.CheckingBackend(
                 backend=httpcore.AsyncMockBackend(
                     [valid, valid.replace(b'204', b'604')]
                 )
@@ -135,7 +136,9 @@
             ) as pool:
                 first = await pool.request('GET', 'http://127.0.0.1/')
                 self.assertEqual(204, first.status)
-                with self.assertRaises(statuses.InvalidStatus):
+                with self.assertRaises(
+                    checked_connections.InvalidStatusReceived
+                ):
                     await pool.request('GET', 'http://127.0.0.1/')
 
         anyio.run(call)
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/conf.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/conf.py
@@ -129,5 +129,3 @@
 # Datagrams of peers that are read before other tasks run. Decoding a single
 # heartbeat takes 0.07 ms, a full batch of 74 unknown ones 4 ms.
 DATAGRAMS_PER_READ = 16
-# Datagrams that wait until the socket's buffer has room. Each has up to 8 KB.
-UNSENT_DATAGRAMS_LIMIT = 128
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/exchanges.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/exchanges.py
@@ -3,11 +3,11 @@
 import anyio
 import httpcore
 
-from savoryyoke_edge import statuses
+from savoryyoke_edge import checked_connections
 from savoryyoke_gateway import conf
 from savoryyoke_gateway import exceptions
 
-_BACKEND = statuses.CheckingBackend()
+_BACKEND = checked_connections.CheckingBackend()
 _METHODS_WITH_BODY = (b'POST', b'PUT', b'PATCH')
 
 
@@ -151,7 +151,7 @@
     match error:
         case httpcore.TimeoutException():
             return exceptions.ExchangeBroken('silent')
-        case statuses.InvalidStatus():
+        case checked_connections.InvalidStatusReceived():
             return exceptions.ExchangeBroken('invalid-status')
         case httpcore.ProtocolError():
             return exceptions.ExchangeBroken('malformed')
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/peering.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/peering.py
@@ -15,10 +15,11 @@
 from savoryyoke.peers import slow_targets
 from savoryyoke.peers import table
 
+from savoryyoke_edge import datagrams
 from savoryyoke_edge import logs
 from savoryyoke_gateway import conf
 from savoryyoke_gateway import copying
-from savoryyoke_gateway import datagrams
+from savoryyoke_wire import conf as wire_conf
 from savoryyoke_wire import exceptions as wire_exceptions
 from savoryyoke_wire import fleet
 from savoryyoke_wire import group as wire_group
@@ -120,6 +121,8 @@
             datagrams.DatagramSocket(
                 host=self._settings.peer_host,
                 port=self._settings.peer_port,
+                limit_bytes=wire_conf.DATAGRAM_LIMIT_BYTES,
+                datagrams_per_read=conf.DATAGRAMS_PER_READ,
                 receive=self._receive_datagram,
                 report_unsent=self._report_unsent,
             )
--- a/packages/savoryyoke-gateway/tests/test_peering.py
+++ b/packages/savoryyoke-gateway/tests/test_peering.py
@@ -13,11 +13,12 @@
 from savoryyoke.peers import conf as peers_conf
 from savoryyoke.published import models
 
+from savoryyoke_edge import datagrams
 from savoryyoke_edge import logs
-from savoryyoke_gateway import datagrams
 from savoryyoke_gateway import dispatching
 from savoryyoke_gateway import peering
 from savoryyoke_gateway import suspects
+from savoryyoke_wire import conf as wire_conf
 from savoryyoke_wire import fleet
 
 TIMEOUT_S = 30.0
@@ -149,6 +150,8 @@
                     datagrams.DatagramSocket(
                         host='127.0.9.2',
                         port=self.peer_port,
+                        limit_bytes=wire_conf.DATAGRAM_LIMIT_BYTES,
+                        datagrams_per_read=1,
                         receive=lambda *_: None,
                         report_unsent=lambda *_: None,
                     )
--- a/packages/savoryyoke-target/savoryyoke_target/backends.py
+++ b/packages/savoryyoke-target/savoryyoke_target/backends.py
@@ -6,7 +6,7 @@
 import anyio
 import httpcore
 
-from savoryyoke_edge import statuses
+from savoryyoke_edge import checked_connections
 from savoryyoke_target import events
 from savoryyoke_target import exceptions
 
@@ -36,7 +36,7 @@
         self._timeouts = {'connect': connect_timeout_s}
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=CONNECTIONS_LIMIT,
-            network_backend=statuses.CheckingBackend(),
+            network_backend=checked_connections.CheckingBackend(),
         )
         # The back end may close an idle connection just as it is reused, and
         # then it is unclear whether the call ran. Calls that are not
@@ -44,7 +44,7 @@
         self._fresh_pool = httpcore.AsyncConnectionPool(
             max_connections=CONNECTIONS_LIMIT,
             max_keepalive_connections=0,
-            network_backend=statuses.CheckingBackend(),
+            network_backend=checked_connections.CheckingBackend(),
         )
 
     async def refuses_connections(self):
