Let the limit of a group outlast the shifts of demand

Cause: the limit followed each measured pause at once.

The limit now follows the longest pause of the last 5 s for each request in flight, and groups with little load have none.

--- a/packages/savoryyoke/savoryyoke/scarcity/conf.py
+++ b/packages/savoryyoke/savoryyoke/scarcity/conf.py
@@ -11,27 +11,23 @@
 # a stream whose VM was frozen doesn't outweigh all others.
 PAUSE_MAX_RATIO = 3.0
 
-# A stream is late if one of its pauses is too long. Single passes take up to
-# two thirds longer than the mean one: their ranks read long prompts, and
-# demand shifts while the limit follows.
-MEAN_PAUSE_SHARE = 0.6
+# A stream is late if one of its pauses is too long. Single passes take up to a
+# third longer than the mean one, because their ranks read long prompts.
+MEAN_PAUSE_SHARE = 0.75
 
 # Streams whose buffered events arrive together show shorter pauses.
 SHORTEST_PAUSE_S = 0.001
 
-# Interval at which the limit of a group follows its pauses, and the part of
-# the difference that it takes over each time.
+# Interval at which pauses are compared with the requests in flight, and the
+# time for which the longest one counts. Demand shifts every three to four
+# seconds.
 LIMIT_INTERVAL_S = 0.1
-LIMIT_STEP = 0.5
+LIMIT_WINDOW_S = 5.0
 
 # The limit never falls below this share of the slots: part of a pass takes the
 # same time with any number of requests.
 LOWEST_LIMIT_SHARE = 0.4
 
-# Requests beyond those in flight for which the limit leaves room, as a share
-# of the slots, so that it doesn't hold back a group with little load.
-LIMIT_HEADROOM_SHARE = 0.1
-
 # Each level of urgency after the second uses this much less of the limit than
 # the one before it. Reports of peers are up to 0.4 s old, in which the number
 # of requests in flight changes by some 5 %.
--- a/packages/savoryyoke/savoryyoke/scarcity/limits.py
+++ b/packages/savoryyoke/savoryyoke/scarcity/limits.py
@@ -1,49 +1,54 @@
 """Limit what groups of engines run, so that their passes stay short."""
 
+import collections
+
 from savoryyoke.scarcity import conf
 
 
 class GroupLimit:
     """Own the limit of requests that all entries have in flight at a group.
 
-    A pass takes longer with each request that runs in it. While the mean pause
-    is longer than ``accepted_s``, the limit falls to the number of requests
-    that would make it as long as that if the pause were proportional to them.
-    That is less than the true number, but the limit is computed anew from each
-    measured pause, so it rises again as the pause gets shorter.
+    A pass takes longer with each request that runs in it, and much longer for
+    the second after each shift of demand. A stream lasts nearly as long as
+    demand stays as it is, so it is on time only if those passes are short
+    enough, too. The limit therefore follows the longest pauses of a window in
+    which demand shifts, taken as proportional to the requests that caused
+    them. A limit that followed each pause at once would let in more requests
+    after each shift than the passes after the next one bear.
     """
 
     def __init__(self):
-        self._requests = None
-        self._updated_s = None
+        # Times and seconds of a pause for each request in flight.
+        self._samples = collections.deque()
+        self._accepted_s = 0.0
 
     def update(self, *, in_flight, slots, pause_s, accepted_s, now_s):
         """Update the limit from what is known about the group.
 
         ``in_flight`` and ``slots`` are totals of the group. There is no limit
-        without a measured pause (``pause_s`` is None) or without slots.
+        without a measured pause (``pause_s`` is None), without slots, or if
+        the group has had little load throughout the window.
         """
+        self._accepted_s = accepted_s
         if pause_s is None or not slots:
-            self._requests = None
+            self._samples.clear()
             return
+        oldest_s = now_s - conf.LIMIT_WINDOW_S
+        while self._samples and self._samples[0][0] < oldest_s:
+            self._samples.popleft()
         if (
-            self._updated_s is not None
-            and now_s - self._updated_s < conf.LIMIT_INTERVAL_S
+            in_flight < conf.LOWEST_LIMIT_SHARE * slots
+            or self._samples
+            and now_s - self._samples[-1][0] < conf.LIMIT_INTERVAL_S
         ):
             return
-        self._updated_s = now_s
-        headroom = conf.LIMIT_HEADROOM_SHARE * slots
-        wanted = in_flight * accepted_s / max(pause_s, conf.SHORTEST_PAUSE_S)
-        if pause_s < accepted_s:
-            wanted += headroom
-        current = slots if self._requests is None else self._requests
-        current += conf.LIMIT_STEP * (wanted - current)
-        self._requests = min(
-            max(current, conf.LOWEST_LIMIT_SHARE * slots), slots
-        )
+        pause_s = max(pause_s, conf.SHORTEST_PAUSE_S)
+        self._samples.append((now_s, pause_s / in_flight))
 
     def requests(self, *, slots):
         """Return the limit; None if only the slots limit the group."""
-        if self._requests is None:
+        if not self._samples:
             return None
-        return min(self._requests, slots)
+        longest_s = max(pause_s for _, pause_s in self._samples)
+        limit = self._accepted_s / longest_s
+        return min(max(limit, conf.LOWEST_LIMIT_SHARE * slots), slots)
