Keep the mutant of the soak that sends work to leaving targets

The mutant replaced Dispatching.update_targets with a function that takes no scarcity terms, so that its entries failed instead of breaking the promise, and the soak caught nothing.

--- a/packages/savoryyoke-soak/savoryyoke_soak/mutants.py
+++ b/packages/savoryyoke-soak/savoryyoke_soak/mutants.py
@@ -91,17 +91,12 @@
     """Keep sending work to targets that are leaving."""
     original_publish = dispatching.Dispatching.update_targets
 
-    def publish_all(self, *, services_by_name, targets, entry_count):
+    def publish_all(self, *, targets, **options):
         all_targets = getattr(self, 'all_targets', {})
         for target in targets:
             all_targets.setdefault(target.target_id, target)
         self.all_targets = all_targets
-        original_publish(
-            self,
-            services_by_name=services_by_name,
-            targets=list(all_targets.values()),
-            entry_count=entry_count,
-        )
+        original_publish(self, targets=list(all_targets.values()), **options)
 
     dispatching.Dispatching.update_targets = publish_all
 
