Compute scarcity terms once for each configuration

Found on rereading the change: the terms of all services were computed from all routes and teams with each change of a target, although they follow from the configuration alone, which is kept decoded; and a service whose targets aren't engines logged scarcity_terms_changed each time, since its terms never come into force. The new test fails without this (one log line for each of three publications).

Also removes a second clamp of a return time, moves RequestSize before its use, and reads the requests of the translator's tests in one place.

--- a/packages/savoryyoke-gateway/savoryyoke_gateway/daemon.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/daemon.py
@@ -299,7 +299,7 @@
                 if target.data_centre not in closed_data_centres
             ],
             entry_count=entry_count,
-            terms_by_service=catalogue.find_terms_by_service(),
+            terms_by_service=catalogue.terms_by_service,
         )
 
     def _choose_read_pause_s(self):
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/dispatching.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/dispatching.py
@@ -79,11 +79,12 @@
             )
 
     def _set_terms(self, name, service_dispatcher, terms):
-        account = service_dispatcher.pool.account
-        previous_terms = account.terms if account is not None else None
+        service_pool = service_dispatcher.pool
+        previous_terms = service_pool.terms
+        service_pool.set_terms(terms)
+        terms = service_pool.terms
         if terms == previous_terms:
             return
-        service_dispatcher.pool.set_terms(terms)
         logs.write_event(
             'scarcity_terms_changed',
             service=name,
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/requests.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/requests.py
@@ -6,6 +6,14 @@
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RequestSize:
+    """Hold the tokens of a prompt and those that its answer may have."""
+
+    prompt_tokens: int
+    answer_tokens: int
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class CallerRequest:
     """Hold a caller's request.
@@ -29,7 +37,7 @@
     time_left_s: float | None
     resume_after: str | None
     shared_prompt_parts: tuple[str, ...] = ()
-    size: 'RequestSize | None' = None
+    size: RequestSize | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -48,14 +56,6 @@
     urgency: int | None = None
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class RequestSize:
-    """Hold the tokens of a prompt and those that its answer may have."""
-
-    prompt_tokens: int
-    answer_tokens: int
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class AnswerHead:
     """Hold the head of a target's answer.
--- a/packages/savoryyoke-gateway/tests/test_dispatching.py
+++ b/packages/savoryyoke-gateway/tests/test_dispatching.py
@@ -278,6 +278,23 @@
                 anyio.run(self.place)
                 self.assertLess(self.dispatching.group_limits(), 1.0)
 
+    def test_terms_of_other_targets_are_neither_used_nor_logged(self):
+        """Guard against a log line with each change of a target."""
+        with mock.patch.object(dispatching.logs, 'write_event') as write_event:
+            for _ in range(3):
+                self.dispatching.update_targets(
+                    services_by_name={
+                        's': catalogue_models.Service(
+                            name='s', slots=None, cold_limit=None
+                        )
+                    },
+                    targets=[TARGET],
+                    entry_count=1,
+                    terms_by_service={'s': self.TERMS},
+                )
+        self.assertEqual([], write_event.mock_calls)
+        self.assertIsNone(self.find_urgency('s', priority=5))
+
     def test_pauses_without_terms_limit_nothing(self):
         self.update({})
         self.dispatching.record_pause('s', TARGET, 0.4)
--- a/packages/savoryyoke/savoryyoke/catalogue/models.py
+++ b/packages/savoryyoke/savoryyoke/catalogue/models.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import functools
 
 from savoryyoke.groups.rollout import models as rollout_models
 from savoryyoke.intake import conf as intake_conf
@@ -127,8 +128,13 @@
                 return route
         return None
 
-    def find_terms_by_service(self):
-        """Return the ``Terms`` for scarce capacity of services with some."""
+    @functools.cached_property
+    def terms_by_service(self):
+        """Return the ``Terms`` for scarce capacity of services with some.
+
+        They are needed with each change of a target, and there may be more
+        than a thousand routes.
+        """
         routes = [
             route
             for routes_by_prefix in self.routes_by_prefix_by_host.values()
--- a/packages/savoryyoke/savoryyoke/placement/pool.py
+++ b/packages/savoryyoke/savoryyoke/placement/pool.py
@@ -128,6 +128,11 @@
         """Return the ``ScarcityAccount``, or None if there are no terms."""
         return self._account
 
+    @property
+    def terms(self):
+        """Return the ``Terms`` in force, or None."""
+        return None if self._account is None else self._account.terms
+
     def set_terms(self, terms):
         """Set the ``Terms`` for scarce capacity; None if there are none."""
         if terms is None or not self._is_engine:
--- a/packages/savoryyoke/savoryyoke/scarcity/conf.py
+++ b/packages/savoryyoke/savoryyoke/scarcity/conf.py
@@ -39,7 +39,7 @@
 HISTORY_TIME_CONSTANT_S = 10.0
 
 # A route's priority or a team that is served less often than this share of
-# what all requests are served is treated as most urgent.
+# what all requests are served may use all slots.
 STARVED_RATIO = 0.5
 # Fewer requests than this say nothing about how often they are served.
 STARVED_MIN_REQUESTS = 3.0
--- a/packages/savoryyoke/savoryyoke/scarcity/returns.py
+++ b/packages/savoryyoke/savoryyoke/scarcity/returns.py
@@ -41,7 +41,7 @@
             return_s = earliest_s + self._random_fraction() * (
                 latest_s - earliest_s
             )
-            return max(min(return_s, latest_s) - now_s, 0.0)
+            return max(return_s - now_s, 0.0)
         self._last_return_s_by_level[level] = return_s
         spread_s = conf.RETURN_SPREAD_SHARE * distance_s
         return_s += self._random_fraction() * spread_s
