review: case 7, restarted agents hold their group for as long as it was up

Cause: a restarted agent that leads again uses the term of its former process, so survivors follow it and take its directives for stale. Ruled out: maps that differ (20 minutes of a random soak of 12 agents and its engines, with late orders, kills and freezes, found no pass with two maps).

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,5 +4,5 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-cp review/standins_2.py target/review-2/
+cp review/standins_2.py review/groups_2.py target/review-2/
 python3 -m compileall -q target/review-2
