--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -360,11 +360,20 @@
 
     def __init__(self, *, module, name, settings, folder):
         self._module = module
+        self._settings = settings
         self._settings_path = pathlib.Path(folder, f'{name}.json')
-        self._settings_path.write_text(json.dumps(settings))
+        self._write_settings()
         self.log_path = pathlib.Path(folder, f'{name}.log')
         self.process = None
 
+    def change_settings(self):
+        """Add a seed to the settings file."""
+        self._settings['Seeds'].append(self._settings['Seeds'][0])
+        self._write_settings()
+
+    def _write_settings(self):
+        self._settings_path.write_text(json.dumps(self._settings))
+
     def start(self):
         """Start the process with the command of the deploy file."""
         with self.log_path.open('ab') as log:
