--- a/review/9/case.py
+++ b/review/9/case.py
@@ -81,9 +81,7 @@
             )
             for number in range(_ENTRIES)
         ]
-        platforms = [
-            Platform(entry=entry, record=record) for entry in entries
-        ]
+        platforms = [Platform(entry=entry, record=record) for entry in entries]
         tasks = [asyncio.create_task(item.run()) for item in platforms]
         began_s = time.monotonic()
         try:
--- a/review/groups_2.py
+++ b/review/groups_2.py
@@ -156,9 +156,7 @@
 
     @staticmethod
     def _write_json(writer, document):
-        writer.write(
-            standins.build_answer(200, json.dumps(document).encode())
-        )
+        writer.write(standins.build_answer(200, json.dumps(document).encode()))
 
     async def _answer_stream(self, headers, writer):
         """Write an event after each pass, from the one asked for."""
@@ -290,9 +288,7 @@
         passes = self.step - self._counted_step
         return [
             count + passes * choices
-            for count, choices in zip(
-                self._counts, self._choices, strict=True
-            )
+            for count, choices in zip(self._counts, self._choices, strict=True)
         ]
 
     def shift_demand(self):
