Decide which published values name a target before comparing them

Cause: of the targets with one address only the newest was kept, before anything had shown that the newest can be used. Its service was compared with the configuration only afterwards, and the decoder required the fields that the program uses, not those that each target writes. The entry's log shows it: target_published of the other value, target_gone of the replica, no try. Ruled out by the same log: a reading that fails as a whole (no task_failed or decoding_failed) and replicas taken for faulty (no try_ended).

The class: comparing values that are not known to name a target. Also in it: values that lack a field or have one of another type (taken for targets, 421), ranks without their group, hosts of a group's ranks at entries and agents, readiness and the pace of reading, services that a later configuration names or no longer names, dispatchers of services that no configuration ever named, ids that no header can hold.

Change: decode in full, check against the configuration in force (placement.eligibility), then compare. AddressClaims lets one target of each service claim an address until a 421 from there refutes it; the older one then returns. Targets of a service that is no longer configured may still end the requests that arrived before. Why this works: a value that names no target no longer takes part in any comparison, and one that looks whole is settled by the process at the address, for one refused try.

Fixtures that published incomplete ranks are completed.

--- a/packages/savoryyoke-fakes/savoryyoke_fakes/deployment/published.py
+++ b/packages/savoryyoke-fakes/savoryyoke_fakes/deployment/published.py
@@ -64,6 +64,14 @@
     return value | changes
 
 
+def build_group(*, rank=0, ranks=1, state='open'):
+    """Return the fields that the rank of a group publishes besides."""
+    return {
+        'group': {'Name': 'g', 'epoch': 1, 'rank': rank, 'State': state},
+        'size': ranks,
+    }
+
+
 def build_headers(*, request_id, deadline_s, key=KEY):
     """Return request headers; without ``Authorization`` if ``key`` is None."""
     headers = [
--- a/packages/savoryyoke-fakes/savoryyoke_fakes/deployment/store.py
+++ b/packages/savoryyoke-fakes/savoryyoke_fakes/deployment/store.py
@@ -68,6 +68,11 @@
             {'Key': key, 'Rev': self._revision, 'Deleted': True}
         )
 
+    @property
+    def revision(self):
+        """Return the revision of the last change."""
+        return self._revision
+
     def forget_history(self):
         """Drop past changes; watches of older revisions get status 410."""
         self._first_watchable_revision = self._revision
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/daemon.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/daemon.py
@@ -275,7 +275,10 @@
 
     def _apply_publication(self, publication):
         """Apply a new publication to the components that use it."""
-        self._crashes.set_targets(publication.targets)
+        # A target that only the configuration has dropped hasn't crashed.
+        self._crashes.set_targets(
+            publication.targets + publication.ignored_targets
+        )
         catalogue = publication.catalogue
         if catalogue is None:
             return
@@ -290,13 +293,15 @@
             self.peering.table.max_entry_count, conf.EXPECTED_ENTRY_COUNT
         )
         self._allowances.set_entry_count(entry_count)
-        closed_data_centres = publication.closed_data_centres
         self._dispatching.update_targets(
             services_by_name=catalogue.services_by_name,
-            targets=[
+            targets=publication.open_targets(publication.targets),
+            retired_targets=[
                 target
-                for target in publication.targets
-                if target.data_centre not in closed_data_centres
+                for target in publication.open_targets(
+                    publication.ignored_targets
+                )
+                if target.service_name not in catalogue.service_names
             ],
             entry_count=entry_count,
             terms_by_service=catalogue.terms_by_service,
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/dispatching.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/dispatching.py
@@ -48,19 +48,38 @@
         self._rate_report_numbers = itertools.count()
 
     def update_targets(
-        self, *, services_by_name, targets, entry_count, terms_by_service=None
+        self,
+        *,
+        services_by_name,
+        targets,
+        entry_count,
+        retired_targets=(),
+        terms_by_service=None,
     ):
         """Replace services and targets.
 
+        ``retired_targets`` are those of services that the configuration no
+        longer names; they may end the requests that arrived before.
         ``entry_count`` is the number of entries that share the request rate of
         a cold target. ``terms_by_service`` holds the scarcity ``Terms`` of the
         services that have some.
         """
-        target_ids = {target.target_id for target in targets}
+        listed_targets = [
+            *targets,
+            *(
+                target
+                for target in retired_targets
+                if target.service_name in self._dispatchers_by_service
+            ),
+        ]
+        target_ids = {target.target_id for target in listed_targets}
         for refused_ids in self._refused_target_ids_by_event.values():
             refused_ids.intersection_update(target_ids)
-        targets_by_service = {name: [] for name in services_by_name}
-        for target in targets:
+        targets_by_service = {
+            name: []
+            for name in (*self._dispatchers_by_service, *services_by_name)
+        }
+        for target in listed_targets:
             targets_by_service.setdefault(target.service_name, []).append(
                 target
             )
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/forwarder.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/forwarder.py
@@ -73,6 +73,7 @@
         self._buffers = buffers
         self._tries = hedging.HedgedTries(
             tries=tries.TryRunner(
+                published_state=published_state,
                 dispatching=dispatching,
                 translator=translator,
                 reporter=self._reporter,
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/ports.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/ports.py
@@ -66,13 +66,23 @@
     """Hold the decoded published values.
 
     ``catalogue`` is None until one is published. Targets in
-    ``closed_data_centres`` get no requests.
+    ``closed_data_centres`` get no requests. ``ignored_targets`` are published
+    as well, but the catalogue does not allow their use.
     """
 
     catalogue: catalogue_models.Catalogue | None
     targets: tuple[placement_models.Target, ...]
     closed_data_centres: frozenset[str]
     faults: tuple[Fault, ...]
+    ignored_targets: tuple[placement_models.Target, ...] = ()
+
+    def open_targets(self, targets):
+        """Return those of the targets whose data centre is not closed."""
+        return [
+            target
+            for target in targets
+            if target.data_centre not in self.closed_data_centres
+        ]
 
 
 class Source(typing.Protocol):
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/published_state.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/published_state.py
@@ -4,8 +4,10 @@
 
 import anyio
 
+from savoryyoke.groups.rollout import members as rollout_members
 from savoryyoke.groups.rollout import models as rollout_models
 from savoryyoke.placement import addresses
+from savoryyoke.placement import eligibility
 from savoryyoke.published import holds
 from savoryyoke.published import models
 from savoryyoke.published import view
@@ -43,7 +45,9 @@
                 hold_times=hold_times,
             )
         )
+        self._claims = addresses.AddressClaims()
         self._reported_faults = frozenset()
+        self._problems_by_id = {}
         self._has_catalogue = anyio.Event()
         self.publication = ports.Publication(
             catalogue=None,
@@ -85,32 +89,19 @@
         members = [
             target
             for target in self.publication.targets
-            if target.group == group
+            if target.group == group and self._find_group_shape(target)
         ]
-        shape = self._find_group_shape(members)
-        if shape is None:
+        if not members:
             return None
         return rollout_models.GroupMembers(
-            shape=shape,
-            hosts_by_rank={
-                target.group_rank: target.host
-                # A rank that has started anew may be listed twice.
-                for target in sorted(
-                    members,
-                    key=lambda member: (member.group_rank, member.incarnation),
-                )
-            },
+            shape=self._find_group_shape(members[0]),
+            hosts_by_rank=rollout_members.index_hosts(members),
         )
 
-    def _find_group_shape(self, members):
-        """Return the ``GroupShape`` of the targets of a group, or None."""
-        if self.catalogue is None:
-            return None
-        for target in members:
-            service = self.catalogue.services_by_name.get(target.service_name)
-            if service is not None and service.group_shape is not None:
-                return service.group_shape
-        return None
+    def _find_group_shape(self, target):
+        """Return the ``GroupShape`` of a target's service, or None."""
+        service = self.catalogue.services_by_name.get(target.service_name)
+        return None if service is None else service.group_shape
 
     def apply(self, reading, *, source, after_outage=False):
         """Apply a reading, which is a ``Snapshot`` or ``Changes``.
@@ -136,6 +127,19 @@
         if self._view.expire(now_s=self._clock()):
             self._interpret('lapse')
 
+    def record_misdirection(self, target):
+        """Record that another target has answered at a target's address."""
+        if self._claims.refute(target):
+            logs.write_event(
+                'address_claim_refuted',
+                level='warning',
+                target=target.target_id,
+                incarnation=target.incarnation,
+                address=f'{target.host}:{target.port}',
+                as_of=self.as_of,
+            )
+            self._interpret('answer')
+
     def _note_epoch(self, previous_as_of, source):
         """Log and count a platform that was restored from an older copy."""
         if previous_as_of == models.NO_REVISION:
@@ -157,10 +161,14 @@
         publication = self._interpreter.interpret(self._view.items_by_key)
         previous = self.publication
         catalogue = self._choose_catalogue(publication.catalogue)
+        eligible_targets, ignored_targets = self._split_targets(
+            publication.targets, catalogue
+        )
         self.publication = dataclasses.replace(
             publication,
             catalogue=catalogue,
-            targets=addresses.drop_replaced(publication.targets),
+            targets=self._claims.select(eligible_targets),
+            ignored_targets=ignored_targets,
         )
         if catalogue is not None:
             self._has_catalogue.set()
@@ -168,6 +176,47 @@
         self._log_changes(previous, source)
         self._on_change(self.publication)
 
+    def _split_targets(self, targets, catalogue):
+        """Return the targets that may be used, and the others.
+
+        Without a catalogue it is not known yet which ones may be used.
+        """
+        if catalogue is None:
+            return (), targets
+        problems_by_id = {
+            target.target_id: problem
+            for target in targets
+            if (problem := eligibility.find_problem(target, catalogue))
+        }
+        self._log_ignored(targets, problems_by_id)
+        return (
+            tuple(
+                target
+                for target in targets
+                if target.target_id not in problems_by_id
+            ),
+            tuple(
+                target
+                for target in targets
+                if target.target_id in problems_by_id
+            ),
+        )
+
+    def _log_ignored(self, targets, problems_by_id):
+        """Log each target that has become unusable by the configuration."""
+        for target in targets:
+            problem = problems_by_id.get(target.target_id)
+            if problem != self._problems_by_id.get(target.target_id):
+                logs.write_event(
+                    'target_ignored' if problem else 'target_accepted',
+                    target=target.target_id,
+                    service=target.service_name,
+                    address=f'{target.host}:{target.port}',
+                    reason=problem,
+                    as_of=self.as_of,
+                )
+        self._problems_by_id = problems_by_id
+
     def _choose_catalogue(self, candidate):
         current_catalogue = self.publication.catalogue
         if candidate is None:
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/tries.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/tries.py
@@ -23,6 +23,7 @@
 class TryRunner:
     """Send requests to targets and evaluate the answers.
 
+    ``published_state`` is a ``PublishedState``.
     ``place_retry(call, decision)`` returns a further placement, or None.
     ``place_move(call, decision)`` waits for a free target that a stream on a
     slow target can move to and returns the placement, or None. ``buffers`` is
@@ -32,6 +33,7 @@
     def __init__(
         self,
         *,
+        published_state,
         dispatching,
         translator,
         reporter,
@@ -42,6 +44,7 @@
         buffers,
         clock,
     ):
+        self._published_state = published_state
         self._dispatching = dispatching
         self._translator = translator
         self._reporter = reporter
@@ -166,6 +169,11 @@
             self._dispatching.record_answer_head(
                 call.service_name, target, head, asked_s=attempt.sent_s
             )
+            if head.is_misdirected and head.at_fault_target_id in (
+                None,
+                target_id,
+            ):
+                self._published_state.record_misdirection(target)
             if head.is_refusal or head.is_misdirected:
                 attempt.result = _classify_refusal(head)
                 attempt.at_fault_target_id = head.at_fault_target_id
--- a/packages/savoryyoke-gateway/tests/test_dispatching.py
+++ b/packages/savoryyoke-gateway/tests/test_dispatching.py
@@ -219,6 +219,57 @@
         )
 
 
+class RetiredTargetTests(unittest.TestCase):
+    """Guard against targets that outlast the configuration of a service."""
+
+    def setUp(self):
+        self.dispatching = dispatching.Dispatching(
+            own_data_centre='dc-a',
+            random_fraction=lambda: 0.5,
+            clock=lambda: 0.0,
+            metrics=metrics.GatewayMetrics(
+                registry=prometheus_client.CollectorRegistry()
+            ),
+        )
+
+    def update(self, *, targets=(), retired_targets=()):
+        self.dispatching.update_targets(
+            services_by_name={'s': SERVICE} if targets else {},
+            targets=targets,
+            retired_targets=retired_targets,
+            entry_count=1,
+        )
+
+    def place(self):
+        """Return the decision on a request for the service ``s``."""
+        return anyio.run(
+            self.dispatching.place,
+            's',
+            events.RequestArrived(
+                request_id='r',
+                is_on_time=True,
+                priority=0,
+                wait_until_s=1.0,
+                time_left_s=1.0,
+            ),
+        )
+
+    def test_earlier_requests_use_targets_that_are_still_published(self):
+        self.update(targets=[TARGET])
+        self.update(retired_targets=[TARGET])
+        self.assertIsInstance(self.place(), decisions.Place)
+
+    def test_last_target_that_leaves_is_not_used(self):
+        self.update(targets=[TARGET])
+        self.update()
+        self.assertIsInstance(self.place(), decisions.Refuse)
+
+    def test_service_that_was_never_configured_has_no_targets(self):
+        self.update(retired_targets=[TARGET])
+        self.assertIsInstance(self.place(), decisions.Refuse)
+        self.assertEqual(frozenset(), self.dispatching.releases('s'))
+
+
 class ScarcityTermsTests(unittest.TestCase):
     """Guard against terms that reach the wrong service or outlive it."""
 
--- a/packages/savoryyoke/savoryyoke/catalogue/models.py
+++ b/packages/savoryyoke/savoryyoke/catalogue/models.py
@@ -135,14 +135,25 @@
         They are needed with each change of a target, and there may be more
         than a thousand routes.
         """
-        routes = [
+        return scarcity_models.find_terms_by_service(
+            routes=self._routes(), teams=(self.teams_by_key or {}).values()
+        )
+
+    @functools.cached_property
+    def service_names(self):
+        """Return the names of the services, also of those only in routes."""
+        return frozenset(self.services_by_name).union(
+            destination.service_name
+            for route in self._routes()
+            for destination in route.destinations
+        )
+
+    def _routes(self):
+        return [
             route
             for routes_by_prefix in self.routes_by_prefix_by_host.values()
             for route in routes_by_prefix.values()
         ]
-        return scarcity_models.find_terms_by_service(
-            routes=routes, teams=(self.teams_by_key or {}).values()
-        )
 
     def find_team(self, *, key):
         """Return the team with the API key ``key``, or None."""
--- a/packages/savoryyoke/savoryyoke/placement/addresses.py
+++ b/packages/savoryyoke/savoryyoke/placement/addresses.py
@@ -1,21 +1,81 @@
-"""Find published targets whose address another target has taken over."""
+"""Decide which published targets may be at the addresses that they claim."""
 
+import collections
 
-def drop_replaced(targets):
-    """Return the targets without those whose address was reassigned.
 
-    A target that died stays published for some seconds. When another target
-    is published at the same address in that time, only the one with the
-    higher revision can be reached.
+class AddressClaims:
+    """Own what answers have shown about targets that share an address.
+
+    Each target is published by a writer of its own, so several can claim one
+    address: a target that died stays published for some seconds, in which its
+    address may be assigned again, and a writer may publish an address that is
+    not its own. Only the process at the address can tell which claim is true:
+    it refuses requests for another target.
     """
-    newest_by_address = {}
-    for target in targets:
-        address = (target.host, target.port)
-        newest = newest_by_address.get(address)
-        if newest is None or newest.revision < target.revision:
-            newest_by_address[address] = target
-    return tuple(
-        target
-        for target in targets
-        if newest_by_address[target.host, target.port] is target
-    )
+
+    def __init__(self):
+        self._refuted_claims = frozenset()
+        self._contested_claims = frozenset()
+
+    def select(self, targets):
+        """Return the targets that may be at their address.
+
+        A claim that was refuted doesn't count beside others. Of the targets
+        of one service, only the one with the highest revision stays. Those of
+        different services stay, as a wrong choice would leave one of the
+        services without the target.
+        """
+        targets_by_address = collections.defaultdict(list)
+        for target in targets:
+            targets_by_address[target.host, target.port].append(target)
+        contested = [
+            claimants
+            for claimants in targets_by_address.values()
+            if len(claimants) > 1
+        ]
+        self._contested_claims = frozenset(
+            _identify(target)
+            for claimants in contested
+            for target in claimants
+        )
+        self._refuted_claims &= self._contested_claims
+        dropped_claims = self._contested_claims - {
+            _identify(target)
+            for claimants in contested
+            for target in self._select_claimants(claimants)
+        }
+        return tuple(
+            target
+            for target in targets
+            if _identify(target) not in dropped_claims
+        )
+
+    def refute(self, target):
+        """Record that another target is at the address of ``target``.
+
+        Return whether ``select()`` may now return others.
+        """
+        claim = _identify(target)
+        if claim not in self._contested_claims - self._refuted_claims:
+            return False
+        self._refuted_claims |= {claim}
+        return True
+
+    def _select_claimants(self, claimants):
+        """Return those that stay of the targets that claim one address."""
+        possible = [
+            target
+            for target in claimants
+            if _identify(target) not in self._refuted_claims
+        ]
+        newest_by_service = {}
+        # Answers that refute all claims are contradictory.
+        for target in possible or claimants:
+            newest = newest_by_service.get(target.service_name)
+            if newest is None or newest.revision < target.revision:
+                newest_by_service[target.service_name] = target
+        return newest_by_service.values()
+
+
+def _identify(target):
+    return (target.target_id, target.incarnation, target.host, target.port)
