Keep signals pending while a process has no handlers for them

Callers saw: an entry that starts listens before its imports, and SIGHUP or SIGTERM in that time ended it, so callers that had connected were reset.

Cause: the signals had handlers only from the first iteration of the event loop to its end; outside of it their default action ends the process. The probe of one process (one signal at a time): SIGTERM -15 up to 0.25 s after the start and whole from 0.3 s, on a shared core up to 1.6 or 2.0 s; the log of a killed process is empty. The other face was found by a test: signals every 2 ms until the process is gone end entries and agents with -1, since the handlers go before the process does, and since worker threads of the event loop receive what the main thread blocks. Ruled out: handlers taken away while the process runs (SIGHUP and SIGTERM turn whole together, alone and on a busy core).

Change: both programs block the signals first of all, so that the kernel keeps them pending; they are unblocked only while the event loop handles them; worker threads keep them blocked. Why this works: there is no moment in which the default action applies, and nothing to hand over between two kinds of handlers. A signal before the interpreter's first module (9 to 18 ms here) still ends the process.

Related paths: agents take over changed seeds on SIGHUP; settings that were invalid at a reload are read again until they are usable, at the start for a second; a listener that changed settings leave unused is closed; the older daemons block SIGTERM and SIGINT before they import what they run.

--- a/packages/savoryyoke-agent/savoryyoke_agent/daemon.py
+++ b/packages/savoryyoke-agent/savoryyoke_agent/daemon.py
@@ -26,10 +26,15 @@
 from savoryyoke_agent import slowdowns
 
 from savoryyoke_edge import logs
+from savoryyoke_edge import reloading
+from savoryyoke_edge import signal_receivers
 from savoryyoke_edge import supervision
 from savoryyoke_wire import group
 
 _Phase = models.Phase
+# Settings that a running process can change. The others determine open sockets
+# and the own rank.
+_RELOADABLE_FIELDS = frozenset({'seed_hosts'})
 
 
 class RankDaemon:
@@ -37,7 +42,9 @@
 
     ``engine`` implements ``ports.Engine`` and ``member_finder``
     ``ports.MemberFinder``. ``read_published_values()`` returns items by key
-    from the platform, or None. ``clock`` returns seconds.
+    from the platform, or None. ``read_settings()`` reads the settings again
+    and returns them; it raises ``SettingsUnusable``. ``clock`` returns
+    seconds.
     """
 
     def __init__(
@@ -47,10 +54,17 @@
         engine,
         member_finder,
         read_published_values,
+        read_settings,
         clock=time.monotonic,
         random_source=None,
     ):
         self._settings = settings
+        self._reloader = reloading.SettingsReloader(
+            settings=settings,
+            reloadable_fields=_RELOADABLE_FIELDS,
+            read_settings=read_settings,
+            apply=self._apply_settings,
+        )
         self._engine = engine
         self._clock = clock
         self._random = random_source or random.SystemRandom()
@@ -120,6 +134,7 @@
                 self._slowdown.run,
                 self._log_load,
                 self._watch_signals,
+                self._reloader.run,
             ):
                 tasks.start_soon(supervision.keep_running, task)
             await self._stopping.wait()
@@ -140,14 +155,19 @@
                 await anyio.sleep(conf.OBSERVE_INTERVAL_CHANGING_S)
 
     async def _watch_signals(self):
-        with anyio.open_signal_receiver(
-            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
-        ) as signals:
+        with signal_receivers.open_receiver() as signals:
             async for received in signals:
                 logs.write_event('signal_received', signal=received.name)
-                if received is not signal.SIGHUP:
+                if received is signal.SIGHUP:
+                    self._reloader.reload()
+                else:
                     self.stop()
 
+    def _apply_settings(self, settings):
+        self._settings = settings
+        self._membership.set_seeds(settings.seed_hosts)
+        self._slowdown.set_seeds(settings.seed_hosts)
+
     async def _run_cycles(self):
         """Repeat the cycle: observe the engine, order, report and lead."""
         while True:
--- a/packages/savoryyoke-agent/savoryyoke_agent/membership.py
+++ b/packages/savoryyoke-agent/savoryyoke_agent/membership.py
@@ -37,12 +37,17 @@
         self._member_finder = member_finder
         self._read_published_values = read_published_values
         self._clock = clock
-        seed_hosts = list(settings.seed_hosts)
-        random_source.shuffle(seed_hosts)
-        self._seeds = itertools.cycle(seed_hosts)
+        self._random = random_source
+        self.set_seeds(settings.seed_hosts)
         self._unanswered_since_s = None
         self.members = None
 
+    def set_seeds(self, seed_hosts):
+        """Replace the hosts of the entries that are asked."""
+        self._seeds = itertools.cycle(
+            self._random.sample(seed_hosts, len(seed_hosts))
+        )
+
     def other_hosts(self):
         """Return the hosts of all members but the own one."""
         if self.members is None:
--- a/packages/savoryyoke-agent/savoryyoke_agent/slowdowns.py
+++ b/packages/savoryyoke-agent/savoryyoke_agent/slowdowns.py
@@ -16,10 +16,15 @@
 
     def __init__(self, *, settings, agent, exchange):
         self._settings = settings
+        self._seed_hosts = settings.seed_hosts
         self._agent = agent
         self._exchange = exchange
         self._was_slow = False
 
+    def set_seeds(self, seed_hosts):
+        """Replace the hosts of the entries that get reports."""
+        self._seed_hosts = seed_hosts
+
     async def run(self):
         """Send reports until cancelled."""
         while True:
@@ -38,6 +43,6 @@
                 group.PaceReport(
                     address=self._settings.own_address, pace=pace
                 ),
-                self._settings.seed_hosts,
+                self._seed_hosts,
                 port=self._settings.pace_port,
             )
--- a/packages/savoryyoke-agent/tests/support.py
+++ b/packages/savoryyoke-agent/tests/support.py
@@ -226,4 +226,5 @@
         engine=Engine(group=group, rank=rank),
         member_finder=None,
         read_published_values=read_published_values,
+        read_settings=None,
     )
--- a/packages/savoryyoke-edge/savoryyoke_edge/exceptions.py
+++ b/packages/savoryyoke-edge/savoryyoke_edge/exceptions.py
@@ -35,3 +35,7 @@
 
 class PlatformUnavailable(EdgeError):
     """Report that the platform's service returned no usable answer."""
+
+
+class SettingsUnusable(EdgeError):
+    """Report settings that can't be applied."""
--- a/packages/savoryyoke-edge/savoryyoke_edge/processes.py
+++ b/packages/savoryyoke-edge/savoryyoke_edge/processes.py
@@ -1,12 +1,10 @@
 """Run the parts that every daemon has: signal handling and admin server."""
 
-import signal
-
-import anyio
-
 from savoryyoke_edge import admin
 from savoryyoke_edge import logs
+from savoryyoke_edge import pending_signals
 from savoryyoke_edge import servers
+from savoryyoke_edge import signal_receivers
 
 ADMIN_HEADER_TIMEOUT_S = 5.0
 
@@ -42,7 +40,9 @@
 
 async def watch_signals(start_drain):
     """Call ``start_drain()`` for each SIGTERM or SIGINT."""
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+    with signal_receivers.open_receiver(
+        pending_signals.STOP_SIGNALS
+    ) as signals:
         async for received_signal in signals:
             logs.write_event('signal_received', signal=received_signal.name)
             start_drain()
--- a/packages/savoryyoke-entry/savoryyoke_entry/__main__.py
+++ b/packages/savoryyoke-entry/savoryyoke_entry/__main__.py
@@ -4,6 +4,7 @@
 
 from savoryyoke_edge.command_line import commands
 from savoryyoke_edge.command_line import runner
+from savoryyoke_edge import pending_signals
 from savoryyoke_edge.settings import schema
 
 PROGRAM = 'savoryyoke'
@@ -24,6 +25,9 @@
 
 def main():
     """Run the command that the command line names."""
+    if sys.argv[1:2] == ['run']:
+        # The daemon handles them once its modules are imported.
+        pending_signals.block(pending_signals.STOP_SIGNALS)
     sys.exit(runner.main(program=PROGRAM, commands=COMMANDS))
 
 
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/daemon.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/daemon.py
@@ -16,19 +16,19 @@
 
 from savoryyoke_edge import bounded_input
 from savoryyoke_edge import logs
+from savoryyoke_edge import reloading
 from savoryyoke_edge import servers
+from savoryyoke_edge import signal_receivers
 from savoryyoke_edge import supervision
 from savoryyoke_gateway import application
 from savoryyoke_gateway import conf
 from savoryyoke_gateway import crashes
 from savoryyoke_gateway import dispatching
-from savoryyoke_gateway import exceptions
 from savoryyoke_gateway import following
 from savoryyoke_gateway import forwarder
 from savoryyoke_gateway import metrics
 from savoryyoke_gateway import peering
 from savoryyoke_gateway import published_state
-from savoryyoke_gateway import reloading
 from savoryyoke_gateway import retrying
 from savoryyoke_gateway import serving
 from savoryyoke_gateway import stopping
@@ -38,6 +38,9 @@
 # configuration, see ``serving.ConnectionTimeouts``.
 _HEADER_TIMEOUT_S = 10.0
 _IDLE_TIMEOUT_S = 15.0
+# Settings that a running process can change. The others determine open sockets
+# or limits that are already partly spent.
+_RELOADABLE_FIELDS = frozenset({'seed_hosts', 'grace_s'})
 
 
 class Gateway:
@@ -64,7 +67,12 @@
     ):
         random_fraction = (random_source or random.SystemRandom()).random
         self._settings = settings
-        self._read_settings = read_settings
+        self._reloader = reloading.SettingsReloader(
+            settings=settings,
+            reloadable_fields=_RELOADABLE_FIELDS,
+            read_settings=read_settings,
+            apply=self._apply_settings,
+        )
         self._clock = clock
         self._connection_timeouts = serving.ConnectionTimeouts(
             header_s=_HEADER_TIMEOUT_S, idle_s=_IDLE_TIMEOUT_S
@@ -173,26 +181,8 @@
         self._stopping.begin()
 
     def reload(self):
-        """Read the settings again and apply those that need no restart.
-
-        If they are unusable, the settings in force stay unchanged.
-        """
-        try:
-            new_settings = self._read_settings()
-        except exceptions.SettingsUnusable as error:
-            logs.write_event(
-                'reload_refused', level='warning', reason=str(error)
-            )
-            return
-        reload = reloading.plan_reload(self._settings, new_settings)
-        self._settings = reload.settings
-        self._stopping.set_grace(reload.settings.grace_s)
-        self.peering.table.set_seeds(reload.settings.seed_hosts)
-        logs.write_event(
-            'settings_reloaded',
-            changed=','.join(reload.changed),
-            needs_restart=','.join(reload.needs_restart),
-        )
+        """Read the settings again and apply those that need no restart."""
+        self._reloader.reload()
 
     def directory_addresses(self):
         """Return the sorted addresses of the entries that accept requests."""
@@ -224,6 +214,7 @@
         async with anyio.create_task_group() as group:
             for task in (
                 self._watch_signals,
+                self._reloader.run,
                 self.peering.run,
                 self._follower.run,
                 self._crashes.run,
@@ -239,10 +230,15 @@
             group.cancel_scope.cancel()
 
     def _open_listeners(self, listeners_by_address):
-        return [
-            listeners_by_address.get(str(address)) or servers.bind(address)
+        unused_listeners = dict(listeners_by_address)
+        listeners = [
+            unused_listeners.pop(str(address), None) or servers.bind(address)
             for address in self._addresses()
         ]
+        # The settings have changed since these were opened.
+        for listener in unused_listeners.values():
+            listener.close()
+        return listeners
 
     def _addresses(self):
         settings = self._settings
@@ -273,6 +269,11 @@
             intake=self._intake,
         )
 
+    def _apply_settings(self, settings):
+        self._settings = settings
+        self._stopping.set_grace(settings.grace_s)
+        self.peering.table.set_seeds(settings.seed_hosts)
+
     def _apply_publication(self, publication):
         """Apply a new publication to the components that use it."""
         # A target that only the configuration has dropped hasn't crashed.
@@ -328,9 +329,7 @@
         )
 
     async def _watch_signals(self):
-        with anyio.open_signal_receiver(
-            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
-        ) as signals:
+        with signal_receivers.open_receiver() as signals:
             async for received_signal in signals:
                 logs.write_event(
                     'signal_received', signal=received_signal.name
--- a/packages/savoryyoke-gateway/savoryyoke_gateway/exceptions.py
+++ b/packages/savoryyoke-gateway/savoryyoke_gateway/exceptions.py
@@ -30,7 +30,3 @@
 
 class MalformedRequest(GatewayError):
     """Report a caller's request that can't be parsed."""
-
-
-class SettingsUnusable(GatewayError):
-    """Report settings that can't be applied."""
--- a/packages/savoryyoke-gateway/tests/test_reloading.py
+++ b/packages/savoryyoke-gateway/tests/test_reloading.py
@@ -5,8 +5,10 @@
 
 from savoryyoke.published import holds
 
+from savoryyoke_edge import reloading
+
+from savoryyoke_gateway import daemon
 from savoryyoke_gateway import ports
-from savoryyoke_gateway import reloading
 
 ADDRESS = ports.Address(host='127.0.0.1', port=80)
 SETTINGS = ports.GatewaySettings(
@@ -30,7 +32,11 @@
 class PlanReloadTests(unittest.TestCase):
     def plan(self, **changes):
         offered = dataclasses.replace(SETTINGS, **changes)
-        return reloading.plan_reload(SETTINGS, offered)
+        return reloading.plan_reload(
+            SETTINGS,
+            offered,
+            reloadable_fields=daemon._RELOADABLE_FIELDS,
+        )
 
     def test_nothing_changed(self):
         plan = self.plan()
