--- a/packages/savoryyoke/savoryyoke/placement/addresses.py
+++ b/packages/savoryyoke/savoryyoke/placement/addresses.py
@@ -39,6 +39,8 @@
             for target in claimants
         )
         self._refuted_claims &= self._contested_claims
+        if not contested:
+            return tuple(targets)
         dropped_claims = self._contested_claims - {
             _identify(target)
             for claimants in contested
