--- a/packages/savoryyoke-agent/tests/test_membership.py
+++ b/packages/savoryyoke-agent/tests/test_membership.py
@@ -64,6 +64,12 @@
         for host in SEED_HOSTS:
             self.assertGreater(self.asked_hosts.count(host), 4)
 
+    def test_changed_seeds_are_asked(self):
+        self.request(2)
+        self.membership.set_seeds(('10.0.0.8', '10.0.0.9'))
+        self.request(4)
+        self.assertEqual({'10.0.0.8', '10.0.0.9'}, set(self.asked_hosts[2:]))
+
     def test_members_of_an_answer(self):
         self.request()
         members = support.build_members(3)
--- a/packages/savoryyoke-gateway/tests/test_dispatching.py
+++ b/packages/savoryyoke-gateway/tests/test_dispatching.py
@@ -43,6 +43,18 @@
 )
 
 
+def build_dispatching():
+    """Return the dispatching of an entry whose clock stands still."""
+    return dispatching.Dispatching(
+        own_data_centre='dc-a',
+        random_fraction=lambda: 0.5,
+        clock=lambda: 0.0,
+        metrics=metrics.GatewayMetrics(
+            registry=prometheus_client.CollectorRegistry()
+        ),
+    )
+
+
 class Fleet:
     """Simulate entries that place requests without any heartbeats."""
 
@@ -174,14 +186,7 @@
     """Test that unusable values of answers are logged once for each target."""
 
     def setUp(self):
-        self.dispatching = dispatching.Dispatching(
-            own_data_centre='dc-a',
-            random_fraction=lambda: 0.5,
-            clock=lambda: 0.0,
-            metrics=metrics.GatewayMetrics(
-                registry=prometheus_client.CollectorRegistry()
-            ),
-        )
+        self.dispatching = build_dispatching()
         self.list_targets(TARGET)
 
     def list_targets(self, *targets):
@@ -223,14 +228,7 @@
     """Guard against targets that outlast the configuration of a service."""
 
     def setUp(self):
-        self.dispatching = dispatching.Dispatching(
-            own_data_centre='dc-a',
-            random_fraction=lambda: 0.5,
-            clock=lambda: 0.0,
-            metrics=metrics.GatewayMetrics(
-                registry=prometheus_client.CollectorRegistry()
-            ),
-        )
+        self.dispatching = build_dispatching()
 
     def update(self, *, targets=(), retired_targets=()):
         self.dispatching.update_targets(
