Order the seeds of agents with the random numbers of before

Sampling the seeds takes other random numbers than shuffling them, so all of an agent's later numbers differed.

Change: shuffle as before.

--- a/packages/savoryyoke-agent/savoryyoke_agent/membership.py
+++ b/packages/savoryyoke-agent/savoryyoke_agent/membership.py
@@ -44,9 +44,9 @@
 
     def set_seeds(self, seed_hosts):
         """Replace the hosts of the entries that are asked."""
-        self._seeds = itertools.cycle(
-            self._random.sample(seed_hosts, len(seed_hosts))
-        )
+        shuffled_hosts = list(seed_hosts)
+        self._random.shuffle(shuffled_hosts)
+        self._seeds = itertools.cycle(shuffled_hosts)
 
     def other_hosts(self):
         """Return the hosts of all members but the own one."""
