--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -26,6 +26,7 @@
 TENANT = 'fund'
 HEARTBEAT_S = 1.2
 METRICS_PORT = 9464
+STREAM_EVENTS = 5
 ENTRY_COMMAND = ('python3', '-S', '-m', 'savoryyoke_platform.entry')
 BOUNDS = {
     'SeedLagS': 3,
@@ -104,6 +105,17 @@
     return Request(method=method, target=target, headers=headers, body=body)
 
 
+async def read_body(reader, headers):
+    """Return the whole body of an answer, with a length or in chunks."""
+    if 'content-length' in headers:
+        return await reader.readexactly(int(headers['content-length']))
+    body = b''
+    while size := int(await reader.readline(), 16):
+        body += await reader.readexactly(size)
+        await reader.readexactly(2)
+    return body
+
+
 def build_answer(status, headers=(), body=b''):
     """Return the bytes of an answer with a length."""
     lines = [f'HTTP/1.1 {status} Status']
@@ -174,16 +186,19 @@
         self.address = '%s:%d' % server.sockets[0].getsockname()
         return server
 
-    def write(self, key, value):
+    def write(self, key, value, *, is_leased=None):
+        """Write an item; replicas' entries have a lease unless told so."""
         if self.is_away:
             return False
+        if is_leased is None:
+            is_leased = key.startswith('servers/')
         self._rev += 1
         item = {
             'Key': key,
             'Value': base64.b64encode(json.dumps(value).encode()).decode(),
             'Rev': self._rev,
             'Created': self._rev,
-            'Lease': 1 if key.startswith('servers/') else 0,
+            'Lease': int(is_leased),
         }
         self._items[key] = item
         self._written_s[key] = time.monotonic()
@@ -237,7 +252,7 @@
                 continue
             now_s = time.monotonic()
             self._copies.append((now_s, dict(self._items), self._rev))
-            for key in [k for k in self._items if k.startswith('servers/')]:
+            for key in [k for k, item in self._items.items() if item['Lease']]:
                 if now_s - self._written_s[key] >= 3 * HEARTBEAT_S:
                     self.remove(key)
                     self._record.write(f'store: lease of {key} expired')
@@ -315,8 +330,10 @@
     """
 
     def __init__(self, *, replica_id, store, record, service='plain',
-                 zone='zone-a', work_s=0.02, slots=4):
+                 zone='zone-a', work_s=0.02, slots=4, entry_fields=None):
         self.replica_id = replica_id
+        # Fields that the entry has besides those of every replica.
+        self.entry_fields = entry_fields or {}
         self._store = store
         self._record = record
         self._service = service
@@ -358,6 +375,7 @@
                 'ColdLeftMs': 0,
                 'Seq': self._seq,
                 'born': self.born,
+                **self.entry_fields,
             },
         )
 
@@ -398,10 +416,29 @@
             ('X-Load', f'{self.running},0,{self._slots}'),
             *self.headers,
         ]
+        if request.headers.get('accept') == 'text/event-stream':
+            await self._stream(writer, headers, request)
+            return
         writer.write(build_answer(200, headers, self.replica_id.encode()))
         await writer.drain()
 
 
+    async def _stream(self, writer, headers, request):
+        """Send ``STREAM_EVENTS`` events, after the one that is named."""
+        lines = ['HTTP/1.1 200 OK', *(f'{n}: {v}' for n, v in headers)]
+        lines += ['Content-Type: text/event-stream']
+        lines += ['Transfer-Encoding: chunked', '', '']
+        writer.write('\r\n'.join(lines).encode())
+        first = int(request.headers.get('last-event-id', 0)) + 1
+        for number in range(first, STREAM_EVENTS + 1):
+            event = f'id: {number}\ndata: token-{number}\n\n'.encode()
+            writer.write(b'%x\r\n%s\r\n' % (len(event), event))
+            await writer.drain()
+            await asyncio.sleep(self._work_s)
+        writer.write(b'0\r\n\r\n')
+        await writer.drain()
+
+
 class Entry:
     """Run an entry as a process, with the command of the deploy file."""
 
@@ -535,7 +572,7 @@
         self.outcomes = []
 
     async def call(self, entry, path, *, method='GET', body=b'',
-                   deadline_s=3.0, key=KEY, host=HOST_NAME):
+                   deadline_s=3.0, key=KEY, host=HOST_NAME, headers_sent=()):
         request_id = '%016x' % random.getrandbits(64)
         sent_s = self._record.now_s()
         self._record.write(f'{request_id} {method} {path} to {entry.name}')
@@ -546,6 +583,7 @@
             f'X-Deadline-Ms: {int(deadline_s * 1000)}',
             f'Authorization: Bearer {key}',
             f'Content-Length: {len(body)}',
+            *headers_sent,
         ]
         status, headers, answer = 0, {}, b''
         writer = None
@@ -559,8 +597,7 @@
                     while (line := await reader.readline()).strip():
                         name, _, value = line.decode('latin-1').partition(':')
                         headers[name.strip().lower()] = value.strip()
-                    length = int(headers.get('content-length', 0))
-                    answer = await reader.readexactly(length)
+                    answer = await read_body(reader, headers)
                     status = code
         except (OSError, TimeoutError, asyncio.IncompleteReadError):
             pass
