--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -161,11 +161,12 @@
     ``is_away`` makes it refuse all connections' calls (no answer, reset).
     ``restore`` replaces its content by an older copy and raises the era. An
     entry of a replica that was not written for three heartbeat intervals is
-    removed; after a return, the intervals count from the return. Expiry is
-    checked every ``SWEEP_S``.
+    removed; after a return, the intervals count from the return. Copies are
+    taken every ``COPY_S``. Expiry is checked once in a heartbeat interval, by a
+    timer that begins at a random time and runs on while the store is away.
     """
 
-    SWEEP_S = 0.5
+    COPY_S = 0.5
 
     def __init__(self, record):
         self._record = record
@@ -246,16 +247,25 @@
 
     async def run(self):
         """Take copies and remove entries whose lease has expired."""
+        due_s = time.monotonic() + random.random() * HEARTBEAT_S
         while True:
-            await asyncio.sleep(self.SWEEP_S)
+            await asyncio.sleep(self.COPY_S / 10)
+            now_s = time.monotonic()
+            is_due = now_s >= due_s
+            if is_due:
+                due_s += HEARTBEAT_S
             if self.is_away:
                 continue
-            now_s = time.monotonic()
-            self._copies.append((now_s, dict(self._items), self._rev))
-            for key in [k for k, item in self._items.items() if item['Lease']]:
-                if now_s - self._written_s[key] >= 3 * HEARTBEAT_S:
-                    self.remove(key)
-                    self._record.write(f'store: lease of {key} expired')
+            if not self._copies or now_s - self._copies[-1][0] > self.COPY_S:
+                self._copies.append((now_s, dict(self._items), self._rev))
+            if is_due:
+                self._remove_expired(now_s)
+
+    def _remove_expired(self, now_s):
+        for key in [k for k, item in self._items.items() if item['Lease']]:
+            if now_s - self._written_s[key] >= 3 * HEARTBEAT_S:
+                self.remove(key)
+                self._record.write(f'store: lease of {key} expired')
 
     def _notify(self):
         self._changed.set()
