--- a/review/11/play.py
+++ b/review/11/play.py
@@ -1,6 +1,7 @@
 """Play a day on which another writer's entry stands beside those of a group."""
 
 import asyncio
+import os
 import pathlib
 import random
 import sys
@@ -177,4 +178,7 @@
 
 
 if __name__ == '__main__':
-    standins.main(play, FOLDER)
+    # With TROUBLE=0 the same is played without the disruption.
+    standins.main(
+        play, FOLDER, trouble=os.environ.get('TROUBLE', '1') != '0'
+    )
--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -675,12 +675,11 @@
     return False
 
 
-def main(play, folder):
+def main(play, folder, *, trouble):
     """Run ``play(record, temporary folder, trouble)``; exit as it returns.
 
     It returns whether the rule held, or None if the case could not run.
     """
-    trouble = os.environ.get('TROUBLE', '1') != '0'
     record = Record(pathlib.Path(folder) / 'record.txt')
     held = None
     try:
